platform: Run VMs that find each other from seeds

Cause: the product knows its VMs from one settings file and speaks its own interface only. Change: a TCP link between VMs, groups that grow and replace members, whole configurations, a relay core, batch jobs by position, and the adapter in platform/.

--- a/internal/command/cli/entries.go
+++ b/internal/command/cli/entries.go
@@ -10,6 +10,7 @@
 	return []entry{
 		{name: "quickstart", short: "run the main job on embedded defaults", long: "Runs seven VMs and stand-in upstreams in one process, onboards a team, streams an answer, and runs a batch while a keeper is lost.", make: fresh[quickstartCommand]()},
 		{name: "serve", short: "run one VM of a fleet", long: "Runs the VM that --vm names until SIGTERM, which stops it gracefully.", make: fresh[serve]()},
+		{name: "node", short: "run one VM that finds the others", long: "Runs one VM of a fleet whose VMs find each other from seeds, until SIGTERM, which stops it gracefully.", make: fresh[nodeCommand]()},
 		{name: "check", short: "check a settings file", long: "Reads a settings file and prints the first mistake with file, line, column and key.", make: fresh[check]()},
 		{name: "certs", short: "create certificates", long: "Creates the fleet's authority, a certificate for each VM and the operator's token.", make: fresh[certs]()},
 		{name: "change", short: "apply a configuration change", long: "Sends a change in JSON to a VM's operator address.", make: fresh[change]()},
--- /dev/null
+++ b/internal/command/cli/node.go
@@ -0,0 +1,75 @@
+package cli
+
+import (
+	"log/slog"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/pkg/errors"
+
+	"snipetack/internal/command/node"
+	"snipetack/internal/state/plan"
+	"snipetack/internal/transport/disk"
+	"snipetack/internal/transport/httpconn"
+	"snipetack/internal/transport/jobs"
+	"snipetack/internal/transport/network"
+	"snipetack/internal/transport/relay"
+	"snipetack/internal/transport/telemetry"
+	"snipetack/platform"
+)
+
+type nodeCommand struct {
+	Settings string `long:"settings" description:"settings file; the platform's variable names it otherwise" value-name:"FILE"`
+}
+
+func (c nodeCommand) run(e *environment) error {
+	file := c.Settings
+	if file == "" {
+		file = os.Getenv(platform.SettingsVariable)
+	}
+	s, err := node.Load(file)
+	if err != nil {
+		return invalid{err}
+	}
+	node.LimitRuntime(s)
+	w := telemetry.NewLogRing(e.out)
+	defer w.Close()
+	d := node.Deps{
+		Settings:     s,
+		Reload:       func() (node.Settings, error) { return node.Load(file) },
+		Network:      network.New(),
+		Surroundings: surroundings(),
+		Log:          slog.New(slog.NewJSONHandler(w, nil)).With("vm", s.VM),
+	}
+	if s.Data != "" {
+		d.Disk, err = disk.New(s.Data)
+		if err != nil {
+			return err
+		}
+		defer d.Disk.Close()
+	}
+	n := node.New(d)
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	go func() {
+		for range hup {
+			n.Changed()
+		}
+	}()
+	return errors.Wrap(n.Run(e.ctx), "running the VM")
+}
+
+// surroundings connects the product with the users' platform.
+func surroundings() node.Surroundings {
+	return node.Surroundings{
+		DecodePlan: func(b []byte) (*plan.Plan, error) { return platform.DecodePlan(b) },
+		Upstreams:  func(p *httpconn.Pool) relay.UpstreamProvider { return platform.NewEngine(p) },
+		List:       func(p *httpconn.Pool, address string) node.ListProvider { return platform.NewList(p, address) },
+		Callers:    func(r *relay.Relay, j *jobs.Client) http.Handler { return platform.NewCaller(r, j) },
+		Ready:      platform.Ready,
+		Operators:  func(c node.ControlProvider) http.Handler { return platform.NewOperator(c) },
+	}
+}
--- /dev/null
+++ b/internal/command/node/control.go
@@ -0,0 +1,306 @@
+package node
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"snipetack/internal/coordination/consensus"
+	"snipetack/internal/coordination/pause"
+	"snipetack/internal/coordination/replica"
+	"snipetack/internal/coordination/roster"
+	"snipetack/internal/state/group"
+	"snipetack/internal/state/plan"
+	"snipetack/internal/state/result"
+	"snipetack/internal/transport/link"
+)
+
+// Timing of a control VM.
+const (
+	listInterval  = 500 * time.Millisecond // each read is charged; an upstream that leaves is known in time
+	leadInterval  = 100 * time.Millisecond
+	deadAfter     = 1500 * time.Millisecond // a voter may be replaced; well within the time for catching up
+	commitTimeout = 2500 * time.Millisecond // of an operator's change
+	retireSettle  = time.Second             // until the batch VMs know who leaves
+	transferTime  = 1500 * time.Millisecond
+)
+
+// control keeps the configuration and tells the other VMs what is new.
+type control struct {
+	n       *Node
+	machine *plan.Control
+	replica *replica.Replica
+
+	mu      sync.Mutex
+	roster  *roster.Roster // nil unless this VM leads
+	retired map[string]time.Time
+}
+
+func newControl(n *Node) (*control, error) {
+	c := &control{n: n, retired: map[string]time.Time{}}
+	c.machine = plan.NewControl(c.observe)
+	var founders []string
+	if n.Settings.Bootstrap {
+		founders = n.member.seeds
+	}
+	r, err := replica.New(replica.Deps{
+		VM:       n.link.Self(),
+		Founders: founders,
+		Contacts: n.member.controls,
+		Growth:   &replica.Growth{Voters: n.voters(), DeadAfter: deadAfter, Leaving: func() []string { return nil }, Fewest: 1},
+		Folder:   n.Disk,
+		Machines: map[uint32]replica.Machine{group.Control: c.machine},
+		Send:     sender{n.link},
+		Forward:  forwarder{n.link},
+		Timing:   groupTiming(),
+		Log:      n.Log,
+	})
+	c.replica = r
+	n.link.Receive(link.Consensus, func(from string, b []byte) { r.Receive(from, b) })
+	n.link.Handle(link.Propose, func(ctx context.Context, _ string, b []byte) ([]byte, error) {
+		return r.ProposeHere(ctx, group.Control, b)
+	})
+	n.link.Handle(link.Sync, c.sync)
+	return c, err
+}
+
+// groupTiming spares processor time of small VMs.
+func groupTiming() consensus.Timing {
+	t := consensus.DefaultTiming()
+	t.Heartbeat = 120 * time.Millisecond
+	return t
+}
+
+// sender carries messages of the groups.
+type sender struct{ l *link.Link }
+
+// Send sends a frame to another VM.
+func (s sender) Send(vm string, b []byte) { s.l.Send(vm, link.Consensus, slices.Clone(b)) }
+
+// forwarder carries commands to the VM that leads a group.
+type forwarder struct{ l *link.Link }
+
+// Forward commits a command through another VM.
+func (f forwarder) Forward(ctx context.Context, vm string, _ uint32, command []byte) ([]byte, error) {
+	return f.l.Call(ctx, vm, link.Propose, command)
+}
+
+// observe puts committed configurations in force here.
+func (c *control) observe(s plan.State) {
+	if len(s.Document) == 0 {
+		return
+	}
+	if p := c.n.member.Plan(); p == nil || p.Version < s.Version {
+		c.n.member.adoptDocument(s.Document)
+	}
+}
+
+func (c *control) run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return c.replica.Run(ctx) })
+	g.Go(func() error { return c.lead(ctx) })
+	g.Go(func() error { return c.readList(ctx) })
+	g.Go(func() error {
+		return serveHTTP(ctx, c.n, c.n.Settings.Operators, c.n.Surroundings.Operators(c))
+	})
+	return g.Wait()
+}
+
+func (c *control) stop(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, transferTime)
+	defer cancel()
+	if err := c.replica.Transfer(ctx); err != nil {
+		c.n.Log.Warn("leadership not handed on", "error", err)
+	}
+}
+
+// lead keeps a roster while this VM leads.
+func (c *control) lead(ctx context.Context) error {
+	for pause.For(ctx, leadInterval) {
+		_, _, leads := c.replica.Lease(group.Control)
+		now := time.Now()
+		c.mu.Lock()
+		if !leads {
+			c.roster = nil
+			c.mu.Unlock()
+			continue
+		}
+		if c.roster == nil {
+			c.roster = c.newRoster(now)
+		}
+		c.roster.Expire(now)
+		founders := c.roster.Founders(now, c.n.voters())
+		c.mu.Unlock()
+		if len(founders) > 0 && len(c.machine.State().Founders) == 0 {
+			c.propose(ctx, plan.Command{Founders: founders})
+		}
+	}
+	return nil
+}
+
+func (c *control) newRoster(now time.Time) *roster.Roster {
+	c.n.Log.Info("leads the control group")
+	m := c.n.member
+	l, read := m.Upstreams()
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return roster.New(now, m.vms, l, read)
+}
+
+// readList reads the list of upstreams for all VMs while this VM leads.
+func (c *control) readList(ctx context.Context) error {
+	for pause.For(ctx, listInterval) {
+		c.mu.Lock()
+		leads := c.roster != nil
+		c.mu.Unlock()
+		if !leads {
+			continue
+		}
+		at := time.Now()
+		l, err := c.n.list.Read(ctx)
+		if err != nil {
+			c.n.Log.Warn("list of upstreams not read", "error", err)
+			continue
+		}
+		c.mu.Lock()
+		if c.roster != nil {
+			c.roster.SetUpstreams(l, at)
+		}
+		c.mu.Unlock()
+	}
+	return nil
+}
+
+// sync answers the report of a VM.
+func (c *control) sync(_ context.Context, _ string, b []byte) ([]byte, error) {
+	r, err := roster.DecodeReport(b)
+	if err != nil {
+		return nil, err
+	}
+	s := c.machine.State()
+	_, _, leads := c.replica.Lease(group.Control)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if leads && c.roster != nil {
+		return roster.EncodeBulletin(c.roster.Report(time.Now(), r, s, c.accounts())), nil
+	}
+	l, _ := c.replica.Leader(group.Control)
+	m := c.n.member
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	x := roster.Bulletin{Leader: l, Version: s.Version, Founders: s.Founders, Leaving: s.Leaving, BatchLeader: m.batchLeader,
+		BatchMembers: m.batchMembers}
+	if r.Version < s.Version {
+		x.Document = s.Document
+	}
+	return roster.EncodeBulletin(x), nil
+}
+
+func (c *control) accounts() []string {
+	p := c.n.member.Plan()
+	if p == nil {
+		return nil
+	}
+	var l []string
+	for n, a := range p.Accounts {
+		if a.Rate > 0 {
+			l = append(l, n)
+		}
+	}
+	return l
+}
+
+func (c *control) propose(ctx context.Context, m plan.Command) error {
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	_, err := c.replica.Propose(ctx, group.Control, plan.EncodeCommand(m))
+	if err != nil {
+		c.n.Log.Warn("control command not confirmed", "error", err)
+	}
+	return err
+}
+
+// Put commits a configuration; one that is not newer changes nothing.
+func (c *control) Put(ctx context.Context, p *plan.Plan, document []byte) error {
+	err := c.propose(ctx, plan.Command{Version: p.Version, Document: document})
+	c.n.Log.Info("configuration put", "version", p.Version, "error", err)
+	return err
+}
+
+// Get returns the newest committed configuration.
+func (c *control) Get(ctx context.Context) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	if err := c.replica.Barrier(ctx, group.Control); err != nil {
+		return nil, err
+	}
+	s := c.machine.State()
+	if len(s.Document) == 0 {
+		return nil, result.New(result.NotReady, "there is no configuration yet")
+	}
+	return s.Document, nil
+}
+
+// Retire begins to empty a batch VM.
+func (c *control) Retire(ctx context.Context, vm string) error {
+	if err := c.replica.Barrier(ctx, group.Control); err != nil {
+		return err
+	}
+	s := c.machine.State()
+	if slices.Contains(s.Leaving, vm) {
+		return nil
+	}
+	known, left := false, 0
+	m := c.n.member
+	m.mu.RLock()
+	for _, v := range m.vms {
+		if v.Class != roster.Batch || slices.Contains(s.Leaving, v.Name) {
+			continue
+		}
+		if v.Name == vm {
+			known = true
+		} else {
+			left++
+		}
+	}
+	m.mu.RUnlock()
+	if !known {
+		return result.New(result.VMUnknown, "the fleet has no batch VM %q", vm)
+	}
+	if left < c.n.Settings.Losses+1 {
+		return result.New(result.TooFewVMs, "%d batch VMs would be left", left)
+	}
+	return c.propose(ctx, plan.Command{Leave: vm})
+}
+
+// Retired reports whether a batch VM is empty.
+func (c *control) Retired(ctx context.Context, vm string) (bool, error) {
+	if err := c.replica.Barrier(ctx, group.Control); err != nil {
+		return false, err
+	}
+	if !slices.Contains(c.machine.State().Leaving, vm) {
+		return false, result.New(result.VMUnknown, "batch VM %q is not leaving", vm)
+	}
+	c.mu.Lock()
+	first, ok := c.retired[vm]
+	if !ok {
+		first = time.Now()
+		c.retired[vm] = first
+	}
+	c.mu.Unlock()
+	m := c.n.member
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	if m.batchLeader == "" || len(m.batchMembers) == 0 || time.Since(first) < retireSettle {
+		return false, nil
+	}
+	for _, v := range m.vms {
+		if v.Name == vm && slices.Contains(m.batchMembers, v.Address) {
+			return false, nil
+		}
+	}
+	return true, nil
+}
--- /dev/null
+++ b/internal/command/node/settings.go
@@ -0,0 +1,109 @@
+package node
+
+import (
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/tailscale/hujson"
+
+	"snipetack/internal/command/document"
+	"snipetack/internal/coordination/roster"
+)
+
+// Settings of one VM; addresses are ip:port.
+type Settings struct {
+	VM         string
+	Class      string // a roster.Class
+	Zone       string
+	IP         string
+	FirstPort  int      // for links between VMs
+	Seeds      []string // control VMs, at the ports that operators call
+	Bootstrap  bool     // the whole fleet starts for the first time
+	Data       string   // folder, where the VM has a disk
+	Callers    string   // to listen on
+	Ready      string
+	Operators  string
+	List       string  // address of the list of upstreams
+	ListRate   float64 // calls a second that the list takes from the whole fleet
+	Losses     int     // VMs with a disk that may be lost at once
+	Cores      int
+	MemoryMB   int
+	MaxFiles   int
+	Grace      time.Duration // after which a stopped process is killed
+	StaleAfter time.Duration // a configuration that is not confirmed for longer is not used; 0 is no limit
+	QuotaSlack float64       // requests by which the fleet may exceed a burst
+	Retention  time.Duration // of finished jobs
+}
+
+// Load reads and checks a settings file.
+func Load(file string) (Settings, error) {
+	b, err := os.ReadFile(file)
+	if err != nil {
+		return Settings{}, errors.Wrap(err, "reading the settings")
+	}
+	return Decode(file, b)
+}
+
+// defaults returns the settings of a small fleet.
+func defaults() Settings {
+	return Settings{ListRate: 10, Losses: 1, Cores: 1, MemoryMB: 256, MaxFiles: 1024, Grace: 8 * time.Second,
+		QuotaSlack: 0, Retention: 10 * time.Minute}
+}
+
+// Decode reads and checks settings; the first mistake is returned as a document.Problem.
+func Decode(file string, b []byte) (Settings, error) {
+	d, err := document.New("settings", file, b)
+	if err != nil {
+		return Settings{}, err
+	}
+	s := defaults()
+	grace, stale, retention := s.Grace.Seconds(), 0.0, s.Retention.Seconds()
+	losses, memory := float64(s.Losses), float64(s.MemoryMB)
+	files := float64(s.MaxFiles)
+	cores := float64(s.Cores)
+	err = d.Root(map[string]document.Field{
+		"vm":         d.Text(&s.VM),
+		"class":      d.OneOf(&s.Class, string(roster.Entry), string(roster.Control), string(roster.Batch)),
+		"zone":       d.Text(&s.Zone),
+		"ip":         d.Text(&s.IP),
+		"first_port": d.Whole(&s.FirstPort),
+		"seeds":      d.Texts(&s.Seeds),
+		"bootstrap":  d.Bool(&s.Bootstrap),
+		"data":       optional(d.Text(&s.Data)),
+		"callers":    optional(d.Text(&s.Callers)),
+		"ready":      optional(d.Text(&s.Ready)),
+		"operators":  optional(d.Text(&s.Operators)),
+		"list": func(path string, v hujson.Value) {
+			d.Object(path, v, map[string]document.Field{
+				"address":    d.Text(&s.List),
+				"rate_per_s": d.Number(&s.ListRate),
+			}, "address")
+		},
+		"losses":        d.Number(&losses),
+		"cores":         d.Number(&cores),
+		"memory_mb":     d.Number(&memory),
+		"max_files":     d.Number(&files),
+		"grace_s":       d.Number(&grace),
+		"stale_after_s": d.Number(&stale),
+		"quota_slack":   d.Number(&s.QuotaSlack),
+		"retention_s":   d.Number(&retention),
+	}, "vm", "class", "ip", "first_port", "seeds")
+	s.Losses, s.Cores, s.MemoryMB, s.MaxFiles = int(losses), max(1, int(cores)), int(memory), int(files)
+	s.Grace, s.StaleAfter, s.Retention = seconds(grace), seconds(stale), seconds(retention)
+	return s, err
+}
+
+// optional accepts an empty text where the reader behind it wants one.
+func optional(f document.Field) document.Field {
+	return func(path string, v hujson.Value) {
+		if l, ok := v.Value.(hujson.Literal); ok && l.String() == "" {
+			return
+		}
+		f(path, v)
+	}
+}
+
+func seconds(x float64) time.Duration {
+	return time.Duration(x * float64(time.Second))
+}
--- a/internal/coordination/consensus/leader.go
+++ b/internal/coordination/consensus/leader.go
@@ -327,6 +327,22 @@
 	return now.Sub(c.origin.Add(time.Duration(p.acked))) < c.s.Timing.ElectionMin
 }
 
+// Silence returns for how long a member has not answered this leader; it counts from the start of the leadership.
+func (c *Core) Silence(now time.Time, id uint64) time.Duration {
+	p := c.peers[id]
+	if p == nil || id == c.s.Self.ID {
+		return 0
+	}
+	return now.Sub(later(c.origin.Add(time.Duration(p.acked)), c.ledAt))
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // clock returns the time since the core began in ns; no two readings are equal, and none is 0.
 func (c *Core) clock(now time.Time) uint64 {
 	c.ticks = max(c.ticks+1, uint64(now.Sub(c.origin)))
--- /dev/null
+++ b/internal/coordination/filler/doc.go
@@ -0,0 +1,2 @@
+// Package filler decides which batch items run where, and which give way to online requests.
+package filler
--- a/internal/coordination/replica/envelope.go
+++ b/internal/coordination/replica/envelope.go
@@ -16,6 +16,7 @@
 	ID       uint64 // of the sender
 	AnswerTo uint64 // replica id asked by; 0 in a question
 	Formed   bool   // the sender has a part in the group
+	Leader   string // VM that leads, as far as the sender knows
 }
 
 // addressed is a message of a group.
@@ -44,6 +45,7 @@
 		e.Uint(2, h.ID)
 		e.Uint(3, h.AnswerTo)
 		e.Bool(4, h.Formed)
+		e.Text(5, h.Leader)
 	})
 }
 
@@ -94,6 +96,8 @@
 			h.AnswerTo = d.Uint()
 		case 4:
 			h.Formed = d.Bool()
+		case 5:
+			h.Leader = d.Text()
 		}
 	}
 	return h, d.Err()
--- a/internal/coordination/replica/formation.go
+++ b/internal/coordination/replica/formation.go
@@ -34,7 +34,7 @@
 			r.found(now, m)
 			continue
 		}
-		for _, v := range r.d.Founders {
+		for _, v := range r.contacts(m) {
 			if v != r.d.VM {
 				r.outbox.hello(v, hello{Group: n, ID: r.id})
 			}
@@ -42,6 +42,19 @@
 	}
 }
 
+// contacts returns the VMs that a replica without a leader asks.
+func (r *Replica) contacts(m *member) []string {
+	if r.d.Contacts == nil {
+		return r.d.Founders
+	}
+	l := slices.Concat(r.d.Founders, r.d.Contacts())
+	if m.hint != "" {
+		l = append(l, m.hint)
+	}
+	slices.Sort(l)
+	return slices.Compact(l)
+}
+
 func (r *Replica) mayFound(m *member) bool {
 	if len(r.d.Founders) == 0 || slices.Min(r.d.Founders) != r.d.VM {
 		return false
@@ -72,12 +85,15 @@
 		if m.core.Role() == consensus.Leader {
 			m.newcomer[from] = newcomer{id: h.ID, heard: now}
 		}
-		r.outbox.hello(from, hello{Group: m.group, ID: r.id, AnswerTo: h.ID, Formed: !m.core.Blank()})
+		r.outbox.hello(from, hello{Group: m.group, ID: r.id, AnswerTo: h.ID, Formed: !m.core.Blank(), Leader: m.core.Leader().VM})
 		return
 	}
 	if h.AnswerTo != r.id {
 		return
 	}
+	if h.Leader != "" {
+		m.hint = h.Leader
+	}
 	if h.Formed {
 		delete(m.answers, from)
 		return
@@ -96,22 +112,96 @@
 			delete(m.newcomer, vm)
 			continue
 		}
-		if _, ok := f.Member(n.id); !ok && knows(f, vm) {
+		if _, ok := f.Member(n.id); !ok && (knows(f, vm) || r.admits(now, m, vm)) {
 			r.change(now, m, withNewcomer(f, consensus.Member{VM: vm, ID: n.id}), "learner added")
 			return
 		}
 	}
 	for _, l := range f.Learners {
-		if !m.core.CaughtUp(now, l.ID) {
-			continue
+		if m.core.CaughtUp(now, l.ID) && r.promote(now, m, l) {
+			return
 		}
-		for _, v := range f.Voters {
-			if v.VM == l.VM {
-				r.change(now, m, f.Without(v.ID), "lost replica removed")
-				return
-			}
+	}
+	if r.d.Growth != nil {
+		r.empty(now, m)
+	}
+}
+
+// promote makes the next change that lets a learner vote, and reports whether there was one.
+func (r *Replica) promote(now time.Time, m *member, l consensus.Member) bool {
+	f := m.core.Configuration()
+	for _, v := range f.Voters {
+		if v.VM == l.VM {
+			r.change(now, m, f.Without(v.ID), "lost replica removed")
+			return true
 		}
+	}
+	g := r.d.Growth
+	if g == nil {
+		r.change(now, m, f.WithVoter(l), "learner promoted")
+		return true
+	}
+	if slices.Contains(g.Leaving(), l.VM) {
+		r.change(now, m, f.Without(l.ID), "leaving learner removed")
+		return true
+	}
+	if v, ok := r.dead(now, m); ok && m.core.Reachable(now, f.Without(v.ID)) {
+		r.change(now, m, f.Without(v.ID), "dead voter removed")
+		return true
+	}
+	if len(f.Voters) < g.Voters {
 		r.change(now, m, f.WithVoter(l), "learner promoted")
+		return true
+	}
+	return false
+}
+
+// admits reports whether a VM that was never a member may learn: a vote is free, or will be.
+func (r *Replica) admits(now time.Time, m *member, vm string) bool {
+	g := r.d.Growth
+	if g == nil || slices.Contains(g.Leaving(), vm) {
+		return false
+	}
+	f := m.core.Configuration()
+	spare := 1 // a learner that replaces the next voter lost
+	for _, v := range f.Voters {
+		if slices.Contains(g.Leaving(), v.VM) {
+			spare++
+		}
+	}
+	if _, ok := r.dead(now, m); ok {
+		spare++
+	}
+	return len(f.Members()) < g.Voters+spare
+}
+
+// dead returns a voter that has been silent for too long.
+func (r *Replica) dead(now time.Time, m *member) (consensus.Member, bool) {
+	for _, v := range m.core.Configuration().Voters {
+		if m.core.Silence(now, v.ID) >= r.d.Growth.DeadAfter {
+			return v, true
+		}
+	}
+	return consensus.Member{}, false
+}
+
+// empty takes the vote of a VM that is to leave, once enough others vote; a leader hands on first.
+func (r *Replica) empty(now time.Time, m *member) {
+	g := r.d.Growth
+	f := m.core.Configuration()
+	for _, v := range f.Members() {
+		if !slices.Contains(g.Leaving(), v.VM) {
+			continue
+		}
+		n := f.Without(v.ID)
+		if len(n.Voters) < g.Fewest || !m.core.Reachable(now, n) {
+			continue
+		}
+		if v.VM == r.d.VM {
+			m.core.Transfer(now)
+			return
+		}
+		r.change(now, m, n, "leaving replica removed")
 		return
 	}
 }
--- a/internal/coordination/replica/member.go
+++ b/internal/coordination/replica/member.go
@@ -39,6 +39,7 @@
 	waits    []wait
 	answers  map[string]uint64 // blank founders that answered: replica id by VM
 	newcomer map[string]newcomer
+	hint     string // VM that leads, as another VM told
 }
 
 // opened is a proposal in the log that is not applied yet.
--- a/internal/coordination/replica/replica.go
+++ b/internal/coordination/replica/replica.go
@@ -34,7 +34,9 @@
 // Deps are the collaborators of a Replica.
 type Deps struct {
 	VM       string
-	Founders []string // VMs that found the groups when none of them holds any state
+	Founders []string        // VMs that found the groups when none of them holds any state
+	Contacts func() []string // VMs that may know the groups; nil takes Founders
+	Growth   *Growth         // lets VMs beyond the founders join and replaces lost ones; nil keeps to the founders
 	Folder   journal.Folder
 	Machines map[uint32]Machine // by group
 	Send     SendProvider
@@ -52,6 +54,14 @@
 	JournalBytes    int64  // above this size the journal is rewritten when most of it is outdated
 }
 
+// Growth is how the members of the groups change without an operator.
+type Growth struct {
+	Voters    int             // more do not vote
+	DeadAfter time.Duration   // a voter that is silent for this long may be replaced
+	Leaving   func() []string // VMs that are to be emptied
+	Fewest    int             // voters that are left when a VM leaves
+}
+
 // DefaultLimits returns the limits of a keeper.
 func DefaultLimits() Limits {
 	return Limits{SnapshotEntries: 4096, SnapshotBytes: 16 << 20, KeepTail: 512, JournalBytes: 16 << 20}
--- /dev/null
+++ b/internal/state/docket/command.go
@@ -0,0 +1,287 @@
+package docket
+
+import (
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"snipetack/internal/state/wire"
+)
+
+// Action names what a command does; numbers are stored.
+type Action uint64
+
+// The actions.
+const (
+	Submit Action = 1
+	List   Action = 2 // an item's result
+	Fail   Action = 3 // a run of an item failed
+	End    Action = 4 // the caller ends the job
+	Forget Action = 5 // a job past its retention
+)
+
+// Command is one change of a Docket.
+type Command struct {
+	Action     Action
+	Job        Job // whole for Submit; its ID and Account for the others
+	Item       int // index in the job
+	Outcome    Outcome
+	Output     string
+	MaxWaiting int // tokens of the account on the route, for Submit; 0 is no limit
+}
+
+// Verdict is the outcome of a command.
+type Verdict byte
+
+// The verdicts.
+const (
+	Accepted Verdict = 1
+	NoRoom   Verdict = 2 // the account's waiting tokens would exceed the limit
+	NoJob    Verdict = 3
+	Invalid  Verdict = 4
+)
+
+// Apply executes a committed command and returns its Verdict as one byte.
+func (d *Docket) Apply(_ uint64, command []byte) []byte {
+	c, err := DecodeCommand(command)
+	if err != nil {
+		return []byte{byte(Invalid)}
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	v := d.apply(c)
+	close(d.changed)
+	d.changed = make(chan struct{})
+	return []byte{byte(v)}
+}
+
+func (d *Docket) apply(c Command) Verdict {
+	j := d.jobs[c.Job.ID]
+	if c.Action == Submit {
+		return d.submit(j, c)
+	}
+	if j == nil {
+		return NoJob
+	}
+	switch c.Action {
+	case List:
+		j.list(c)
+	case Fail:
+		if c.Item < len(j.Items) {
+			j.Items[c.Item].Failures++
+		}
+	case End:
+		if j.Account != c.Job.Account {
+			return NoJob
+		}
+		j.Ended = true
+	case Forget:
+		delete(d.jobs, j.ID)
+		d.order = slices.DeleteFunc(d.order, func(id string) bool { return id == j.ID })
+	}
+	return Accepted
+}
+
+// submit takes a job once; a repeat of it is accepted again.
+func (d *Docket) submit(j *Job, c Command) Verdict {
+	if j != nil {
+		if j.Account != c.Job.Account {
+			return Invalid
+		}
+		return Accepted
+	}
+	n := 0
+	for _, i := range c.Job.Items {
+		n += i.Tokens
+	}
+	if c.MaxWaiting > 0 && d.waiting(c.Job.Account, c.Job.Route)+n > c.MaxWaiting {
+		return NoRoom
+	}
+	d.add(c.Job)
+	return Accepted
+}
+
+func (d *Docket) add(j Job) {
+	d.jobs[j.ID] = &j
+	d.order = append(d.order, j.ID)
+}
+
+// list gives an item its result; the first one stays. The body is needed no more.
+func (j *Job) list(c Command) {
+	if c.Item >= len(j.Items) || j.Items[c.Item].Outcome != Open {
+		return
+	}
+	i := &j.Items[c.Item]
+	i.Outcome, i.Output, i.Body = c.Outcome, c.Output, nil
+	j.Listed = append(j.Listed, c.Item)
+}
+
+// Snapshot returns the whole state.
+func (d *Docket) Snapshot() []byte {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	e := wire.NewEncoder()
+	for _, id := range d.order {
+		e.Record(1, func(e *wire.Encoder) { encodeJob(e, *d.jobs[id]) })
+	}
+	return e.Encoded()
+}
+
+// Restore replaces the whole state.
+func (d *Docket) Restore(b []byte) error {
+	n := New()
+	r := wire.NewDecoder(b)
+	for f, ok := r.Next(); ok; f, ok = r.Next() {
+		if f == 1 {
+			j, err := decodeJob(r.Record())
+			r.Fail(err)
+			n.add(j)
+		}
+	}
+	if err := r.Err(); err != nil {
+		return errors.Wrap(err, "decoding the batch jobs")
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.jobs, d.order = n.jobs, n.order
+	close(d.changed)
+	d.changed = make(chan struct{})
+	return nil
+}
+
+// EncodeCommand returns the stored form of a command.
+func EncodeCommand(c Command) []byte {
+	e := wire.NewEncoder()
+	e.Uint(1, uint64(c.Action))
+	e.Record(2, func(e *wire.Encoder) { encodeJob(e, c.Job) })
+	e.Uint(3, uint64(c.Item))
+	e.Uint(4, uint64(c.Outcome))
+	e.Text(5, c.Output)
+	e.Uint(6, uint64(c.MaxWaiting))
+	return e.Encoded()
+}
+
+// DecodeCommand reads the stored form of a command.
+func DecodeCommand(b []byte) (Command, error) {
+	var c Command
+	d := wire.NewDecoder(b)
+	for f, ok := d.Next(); ok; f, ok = d.Next() {
+		switch f {
+		case 1:
+			c.Action = Action(d.Uint())
+		case 2:
+			j, err := decodeJob(d.Record())
+			d.Fail(err)
+			c.Job = j
+		case 3:
+			c.Item = int(d.Uint())
+		case 4:
+			c.Outcome = Outcome(d.Uint())
+		case 5:
+			c.Output = d.Text()
+		case 6:
+			c.MaxWaiting = int(d.Uint())
+		}
+	}
+	return c, errors.Wrap(d.Err(), "decoding a batch command")
+}
+
+func encodeJob(e *wire.Encoder, j Job) {
+	e.Text(1, j.ID)
+	e.Text(2, j.Account)
+	e.Text(3, j.Route)
+	e.Text(4, j.Host)
+	e.Time(5, j.Accepted)
+	e.Bool(6, j.Ended)
+	for i := range j.Items {
+		e.Record(7, func(e *wire.Encoder) { encodeItem(e, j.Items[i]) })
+	}
+	for _, i := range j.Listed {
+		e.Uint(8, uint64(i)+1)
+	}
+}
+
+func decodeJob(d *wire.Decoder) (Job, error) {
+	var j Job
+	for f, ok := d.Next(); ok; f, ok = d.Next() {
+		switch f {
+		case 1:
+			j.ID = d.Text()
+		case 2:
+			j.Account = d.Text()
+		case 3:
+			j.Route = d.Text()
+		case 4:
+			j.Host = d.Text()
+		case 5:
+			j.Accepted = d.Time()
+		case 6:
+			j.Ended = d.Bool()
+		case 7:
+			i, err := decodeItem(d.Record())
+			d.Fail(err)
+			j.Items = append(j.Items, i)
+		case 8:
+			j.Listed = append(j.Listed, int(d.Uint())-1)
+		}
+	}
+	return j, d.Err()
+}
+
+func encodeItem(e *wire.Encoder, i Item) {
+	e.Text(1, i.ID)
+	e.Text(2, i.Path)
+	for _, k := range sortedKeys(i.Headers) {
+		e.Element(3, []byte(k))
+		e.Element(4, []byte(i.Headers[k]))
+	}
+	e.Bytes(5, i.Body)
+	e.Uint(6, uint64(i.Tokens))
+	e.Uint(7, uint64(i.Failures))
+	e.Uint(8, uint64(i.Outcome))
+	e.Text(9, i.Output)
+}
+
+func decodeItem(d *wire.Decoder) (Item, error) {
+	var i Item
+	k := ""
+	for f, ok := d.Next(); ok; f, ok = d.Next() {
+		switch f {
+		case 1:
+			i.ID = d.Text()
+		case 2:
+			i.Path = d.Text()
+		case 3:
+			k = d.Text()
+		case 4:
+			if i.Headers == nil {
+				i.Headers = map[string]string{}
+			}
+			i.Headers[k] = d.Text()
+		case 5:
+			i.Body = slices.Clone(d.Bytes())
+		case 6:
+			i.Tokens = int(d.Uint())
+		case 7:
+			i.Failures = int(d.Uint())
+		case 8:
+			i.Outcome = Outcome(d.Uint())
+		case 9:
+			i.Output = d.Text()
+		}
+	}
+	return i, d.Err()
+}
+
+func sortedKeys(m map[string]string) []string {
+	l := make([]string, 0, len(m))
+	for k := range m {
+		l = append(l, k)
+	}
+	slices.Sort(l)
+	return l
+}
+
+// Age returns how long ago a job was accepted.
+func (j *Job) Age(now time.Time) time.Duration { return now.Sub(j.Accepted) }
--- /dev/null
+++ b/internal/state/plan/machine.go
@@ -0,0 +1,135 @@
+package plan
+
+import (
+	"slices"
+	"sync"
+
+	"github.com/pkg/errors"
+
+	"snipetack/internal/state/wire"
+)
+
+// Control is the replicated state of the control VMs; it is safe for concurrent use.
+type Control struct {
+	mu       sync.RWMutex
+	state    State
+	observer func(State)
+}
+
+// State is what the control VMs keep.
+type State struct {
+	Version  uint64   // of Document
+	Document []byte   // the newest configuration, as the operator sent it
+	Founders []string // VMs that found the batch group; written once
+	Leaving  []string // names of VMs that are to be emptied
+}
+
+// Command is one change of a State; one field is set.
+type Command struct {
+	Version  uint64
+	Document []byte
+	Founders []string
+	Leave    string
+}
+
+// NewControl returns an empty state; observe is called with each new one.
+func NewControl(observe func(State)) *Control {
+	return &Control{observer: observe}
+}
+
+// State returns the state applied so far.
+func (c *Control) State() State {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.state
+}
+
+// Apply executes a committed command; a configuration that is not newer changes nothing.
+func (c *Control) Apply(_ uint64, command []byte) []byte {
+	m, err := DecodeCommand(command)
+	if err != nil {
+		return []byte(err.Error())
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case m.Leave != "":
+		if !slices.Contains(c.state.Leaving, m.Leave) {
+			c.state.Leaving = append(slices.Clone(c.state.Leaving), m.Leave)
+		}
+	case len(m.Founders) > 0:
+		if len(c.state.Founders) == 0 {
+			c.state.Founders = m.Founders
+		}
+	case m.Version > c.state.Version:
+		c.state.Version, c.state.Document = m.Version, m.Document
+	}
+	c.observer(c.state)
+	return nil
+}
+
+// Snapshot returns the whole state.
+func (c *Control) Snapshot() []byte {
+	s := c.State()
+	e := wire.NewEncoder()
+	e.Uint(1, s.Version)
+	e.Bytes(2, s.Document)
+	e.Texts(3, s.Founders)
+	e.Texts(4, s.Leaving)
+	return e.Encoded()
+}
+
+// Restore replaces the whole state.
+func (c *Control) Restore(b []byte) error {
+	var s State
+	d := wire.NewDecoder(b)
+	for f, ok := d.Next(); ok; f, ok = d.Next() {
+		switch f {
+		case 1:
+			s.Version = d.Uint()
+		case 2:
+			s.Document = slices.Clone(d.Bytes())
+		case 3:
+			s.Founders = append(s.Founders, d.Text())
+		case 4:
+			s.Leaving = append(s.Leaving, d.Text())
+		}
+	}
+	if err := d.Err(); err != nil {
+		return errors.Wrap(err, "decoding the control state")
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.state = s
+	c.observer(s)
+	return nil
+}
+
+// EncodeCommand returns the stored form of a command.
+func EncodeCommand(m Command) []byte {
+	e := wire.NewEncoder()
+	e.Uint(1, m.Version)
+	e.Bytes(2, m.Document)
+	e.Texts(3, m.Founders)
+	e.Text(4, m.Leave)
+	return e.Encoded()
+}
+
+// DecodeCommand reads the stored form of a command.
+func DecodeCommand(b []byte) (Command, error) {
+	var m Command
+	d := wire.NewDecoder(b)
+	for f, ok := d.Next(); ok; f, ok = d.Next() {
+		switch f {
+		case 1:
+			m.Version = d.Uint()
+		case 2:
+			m.Document = slices.Clone(d.Bytes())
+		case 3:
+			m.Founders = append(m.Founders, d.Text())
+		case 4:
+			m.Leave = d.Text()
+		}
+	}
+	return m, errors.Wrap(d.Err(), "decoding a control command")
+}
--- a/internal/state/result/code.go
+++ b/internal/state/result/code.go
@@ -58,6 +58,8 @@
 	ChangeInvalid     Code = 6001
 	ChangeConflict    Code = 6002
 	ChangeUncommitted Code = 6003
+	VMUnknown         Code = 6004
+	TooFewVMs         Code = 6005
 
 	NotReady Code = 7001
 	Draining Code = 7002
@@ -109,6 +111,8 @@
 		ChangeInvalid:      {"change_invalid", 400, "The change does not make a valid configuration."},
 		ChangeConflict:     {"change_conflict", 409, "The change names an older revision than the one in force."},
 		ChangeUncommitted:  {"change_uncommitted", 504, "The change may or may not be committed; resend it with the same change id."},
+		VMUnknown:          {"vm_unknown", 404, "The fleet has no such VM."},
+		TooFewVMs:          {"too_few_vms", 409, "Too few VMs of the class would be left."},
 		NotReady:           {"not_ready", 503, "The VM holds no fresh copy of the configuration."},
 		Draining:           {"draining", 503, "The VM is stopping and takes no new requests."},
 		NoQuorum:           {"no_quorum", 503, "The keepers have no leader with a quorum."},
--- /dev/null
+++ b/internal/transport/batchrun/runner.go
@@ -0,0 +1,334 @@
+package batchrun
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"time"
+
+	"snipetack/internal/coordination/filler"
+	"snipetack/internal/coordination/roster"
+	"snipetack/internal/state/docket"
+	"snipetack/internal/state/plan"
+	"snipetack/internal/transport/relay"
+)
+
+// Timing of a Runner.
+const (
+	idleStep     = 200 * time.Millisecond // between looks when nothing happens
+	leastStep    = 10 * time.Millisecond  // so that many events share a look
+	commitTime   = 3 * time.Second        // of one result
+	refusedPause = 150 * time.Millisecond // an upstream that had no room gets no item
+	failedPause  = time.Second            // an upstream that broke off or fell silent gets no item
+	failureBase  = 300 * time.Millisecond // an item whose run failed waits, twice as long each time
+	failureMax   = 5 * time.Second
+	routeGrace   = 10 * time.Second // a route may be newer than the configuration here
+	gapLimit     = 2 * time.Second  // a run without events is ended
+)
+
+// Deps are the collaborators of a Runner.
+type Deps struct {
+	Docket    *docket.Docket
+	Upstreams relay.UpstreamProvider
+	Propose   func(ctx context.Context, command []byte) error
+	Leads     func() bool
+	Plan      func() *plan.Plan // nil while there is none
+	List      func() []roster.Upstream
+	Retention time.Duration // for which a finished job is kept
+	Log       *slog.Logger
+}
+
+// Runner runs items; it is safe for concurrent use.
+type Runner struct {
+	d    Deps
+	hub  *Hub
+	wake chan struct{} // has room for one
+
+	mu      sync.Mutex
+	runs    map[filler.Key]*run
+	partial map[filler.Key]*partial
+	pause   map[filler.Key]time.Time // no run of an item before
+	closed  map[string]time.Time     // no item to an upstream before
+	ending  map[filler.Key]bool      // the result is being committed
+	wg      sync.WaitGroup
+}
+
+// run is an item at an upstream.
+type run struct {
+	filler.Run
+	partial *partial
+	cancel  context.CancelFunc
+}
+
+// partial is what earlier runs of an item have brought.
+type partial struct {
+	last uint64 // event
+	data []string
+}
+
+// New returns a Runner that learns of online requests from a Hub.
+func New(d Deps, h *Hub) *Runner {
+	r := &Runner{d: d, hub: h, wake: make(chan struct{}, 1)}
+	r.reset()
+	h.onChange = r.signal
+	return r
+}
+
+// Run starts and stops items until ctx ends.
+func (r *Runner) Run(ctx context.Context) error {
+	defer r.wg.Wait()
+	t := time.NewTicker(idleStep)
+	defer t.Stop()
+	for {
+		changed := r.d.Docket.Changed()
+		r.step(ctx, time.Now())
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+		case <-changed:
+		case <-r.wake:
+		}
+		time.Sleep(leastStep)
+	}
+}
+
+// InFlight returns the items in flight, by upstream.
+func (r *Runner) InFlight() map[string]int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	m := map[string]int{}
+	for _, x := range r.runs {
+		m[x.Upstream]++
+	}
+	return m
+}
+
+func (r *Runner) signal() {
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (r *Runner) reset() {
+	r.runs = map[filler.Key]*run{}
+	r.partial = map[filler.Key]*partial{}
+	r.pause = map[filler.Key]time.Time{}
+	r.closed = map[string]time.Time{}
+	r.ending = map[filler.Key]bool{}
+}
+
+// step compares what runs with what should.
+func (r *Runner) step(ctx context.Context, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := r.d.Plan()
+	if !r.d.Leads() || p == nil {
+		for _, x := range r.runs {
+			x.cancel()
+		}
+		if len(r.runs) == 0 && !r.d.Leads() {
+			r.reset()
+		}
+		return
+	}
+	waiting, jobs := r.waiting(ctx, now, p)
+	r.stopEnded(jobs)
+	var running []filler.Run
+	for _, x := range r.runs {
+		running = append(running, x.Run)
+	}
+	starts, stops := filler.Plan(now, r.rooms(now), running, waiting)
+	for _, k := range stops {
+		r.d.Log.Info("item gives way", "job", k.Job, "item", k.Item, "upstream", r.runs[k].Upstream)
+		r.runs[k].cancel()
+	}
+	for _, s := range starts {
+		r.start(ctx, s, p)
+	}
+}
+
+// waiting returns the items that may start, and the jobs that have open items.
+func (r *Runner) waiting(ctx context.Context, now time.Time, p *plan.Plan) ([]filler.Want, map[string]bool) {
+	var l []filler.Want
+	open := map[string]bool{}
+	r.d.Docket.View(func(j *docket.Job) bool {
+		if j.Done() {
+			if j.Age(now) > r.d.Retention {
+				go r.commit(ctx, docket.Command{Action: docket.Forget, Job: docket.Job{ID: j.ID}})
+			}
+			return true
+		}
+		open[j.ID] = true
+		for i := range j.Items {
+			k := filler.Key{Job: j.ID, Item: i}
+			if j.Items[i].Outcome != docket.Open {
+				delete(r.ending, k)
+				delete(r.partial, k)
+				continue
+			}
+			if w, ok := r.want(ctx, now, p, j, k); ok {
+				l = append(l, w)
+			}
+		}
+		return true
+	})
+	return l, open
+}
+
+// want tells whether an item may start now, and where to.
+func (r *Runner) want(ctx context.Context, now time.Time, p *plan.Plan, j *docket.Job, k filler.Key) (filler.Want, bool) {
+	if r.runs[k] != nil || r.ending[k] || now.Before(r.pause[k]) {
+		return filler.Want{}, false
+	}
+	u := p.Route(j.Host, j.Items[k.Item].Path)
+	if u == nil {
+		if j.Age(now) > routeGrace {
+			r.list(ctx, k, docket.Errored, "")
+		}
+		return filler.Want{}, false
+	}
+	return filler.Want{Key: k, Service: relay.Choose(u.Targets), Due: j.Accepted.Add(u.Due)}, true
+}
+
+// stopEnded ends the runs of jobs that are ended.
+func (r *Runner) stopEnded(open map[string]bool) {
+	for k, x := range r.runs {
+		if !open[k.Job] {
+			x.cancel()
+		}
+	}
+	for k := range r.partial {
+		if !open[k.Job] {
+			delete(r.partial, k)
+		}
+	}
+}
+
+func (r *Runner) rooms(now time.Time) []filler.Room {
+	online := r.hub.Online(now)
+	var l []filler.Room
+	for _, u := range r.d.List() {
+		l = append(l, filler.Room{
+			ID:      u.ID,
+			Service: u.Service,
+			Slots:   u.Slots,
+			Online:  online[u.ID],
+			Closed:  u.Draining || now.Before(r.closed[u.ID]),
+		})
+	}
+	return l
+}
+
+// start runs an item at an upstream.
+func (r *Runner) start(ctx context.Context, s filler.Start, p *plan.Plan) {
+	var q *relay.Request
+	var due time.Time
+	account, attempts := "", 1
+	r.d.Docket.Read(s.Key.Job, func(j *docket.Job) {
+		i := j.Items[s.Key.Item]
+		if u := p.Route(j.Host, i.Path); u != nil {
+			due, attempts = j.Accepted.Add(u.Due), u.Attempts
+		}
+		account = j.Account
+		q = newRequest(j.Host, i)
+	})
+	address := ""
+	for _, u := range r.d.List() {
+		if u.ID == s.Upstream {
+			address = u.Address
+		}
+	}
+	if q == nil || address == "" {
+		return
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	t := r.partial[s.Key]
+	if t == nil {
+		t = &partial{}
+		r.partial[s.Key] = t
+	}
+	x := &run{Run: filler.Run{Key: s.Key, Upstream: s.Upstream, Due: due}, partial: t, cancel: cancel}
+	r.runs[s.Key] = x
+	r.wg.Go(func() {
+		defer cancel()
+		o := r.carry(ctx, q, relay.Sending{Upstream: s.Upstream, Address: address, Account: account, Resume: t.last}, t)
+		r.finished(x, o, attempts)
+	})
+}
+
+// outcome is how a run ended.
+type outcome int
+
+const (
+	complete outcome = iota
+	stopped          // it gave way or its job ended
+	refused          // the upstream did not run it
+	failed           // the upstream says that the run failed
+	hopeless         // the upstream says that no run can do it
+	broken           // no whole answer came
+)
+
+// finished records the end of a run.
+func (r *Runner) finished(x *run, o outcome, attempts int) {
+	ctx := context.Background()
+	now := time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	defer r.signal()
+	delete(r.runs, x.Key)
+	r.d.Log.Debug("item run ended", "job", x.Key.Job, "item", x.Key.Item, "upstream", x.Upstream, "outcome", int(o))
+	switch o {
+	case complete:
+		r.list(ctx, x.Key, docket.Complete, strings.Join(x.partial.data, "\n"))
+	case hopeless:
+		r.list(ctx, x.Key, docket.Errored, "")
+	case failed:
+		r.failed(ctx, now, x, attempts)
+	case refused:
+		r.closed[x.Upstream] = now.Add(refusedPause)
+		r.pause[x.Key] = now.Add(rand.N(refusedPause))
+	case broken:
+		r.closed[x.Upstream] = now.Add(failedPause)
+	case stopped:
+	}
+}
+
+// failed counts a failed run and gives the item up when it has had its attempts.
+func (r *Runner) failed(ctx context.Context, now time.Time, x *run, attempts int) {
+	n := 0
+	r.d.Docket.Read(x.Key.Job, func(j *docket.Job) { n = j.Items[x.Key.Item].Failures })
+	delete(r.partial, x.Key)
+	if n+1 >= max(1, attempts) {
+		r.list(ctx, x.Key, docket.Errored, "")
+		return
+	}
+	r.pause[x.Key] = now.Add(min(failureMax, failureBase<<min(n, 8)))
+	go r.commit(ctx, docket.Command{Action: docket.Fail, Job: docket.Job{ID: x.Key.Job}, Item: x.Key.Item})
+}
+
+// list commits an item's result.
+func (r *Runner) list(ctx context.Context, k filler.Key, o docket.Outcome, text string) {
+	r.ending[k] = true
+	go func() {
+		c := docket.Command{Action: docket.List, Job: docket.Job{ID: k.Job}, Item: k.Item, Outcome: o, Output: text}
+		if !r.commit(ctx, c) {
+			r.mu.Lock()
+			delete(r.ending, k)
+			r.mu.Unlock()
+		}
+	}()
+}
+
+func (r *Runner) commit(ctx context.Context, c docket.Command) bool {
+	ctx, cancel := context.WithTimeout(ctx, commitTime)
+	defer cancel()
+	if err := r.d.Propose(ctx, docket.EncodeCommand(c)); err != nil {
+		r.d.Log.Warn("batch command not committed", "job", c.Job.ID, "action", int(c.Action), "item", c.Item, "error", err)
+		return false
+	}
+	return true
+}
--- /dev/null
+++ b/internal/transport/telemetry/logring.go
@@ -0,0 +1,95 @@
+package telemetry
+
+import (
+	"fmt"
+	"io"
+	"sync"
+	"time"
+)
+
+// Bounds of a LogRing.
+const (
+	ringLines   = 2048
+	bytesPerSec = 48 << 10 // lines beyond are counted and dropped
+)
+
+// LogRing writes log lines in the background; it never blocks, and drops lines beyond its bounds.
+type LogRing struct {
+	out   io.Writer
+	lines chan []byte
+	done  chan struct{}
+
+	mu      sync.Mutex
+	budget  float64 // bytes that may be written now
+	at      time.Time
+	dropped int
+	closed  bool
+}
+
+var _ io.Writer = (*LogRing)(nil)
+
+// NewLogRing returns a LogRing in front of a writer.
+func NewLogRing(out io.Writer) *LogRing {
+	r := &LogRing{out: out, lines: make(chan []byte, ringLines), done: make(chan struct{}), budget: bytesPerSec, at: time.Now()}
+	go r.run()
+	return r
+}
+
+// Write takes one line.
+func (r *LogRing) Write(b []byte) (int, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	r.budget = min(bytesPerSec, r.budget+bytesPerSec*now.Sub(r.at).Seconds())
+	r.at = now
+	if r.closed || r.budget < float64(len(b)) {
+		r.dropped++
+		return len(b), nil
+	}
+	if r.dropped > 0 && !r.offer(fmt.Appendf(nil, "{\"level\":\"WARN\",\"msg\":\"log lines dropped\",\"lines\":%d}\n", r.dropped)) {
+		return len(b), nil
+	}
+	r.dropped = 0
+	if r.offer(append([]byte(nil), b...)) {
+		r.budget -= float64(len(b))
+	} else {
+		r.dropped++
+	}
+	return len(b), nil
+}
+
+// Close writes what waits.
+func (r *LogRing) Close() {
+	r.mu.Lock()
+	r.closed = true
+	close(r.lines)
+	r.mu.Unlock()
+	<-r.done
+}
+
+func (r *LogRing) offer(b []byte) bool {
+	select {
+	case r.lines <- b:
+		return true
+	default:
+		return false
+	}
+}
+
+func (r *LogRing) run() {
+	defer close(r.done)
+	for b := range r.lines {
+		for more := true; more; {
+			select {
+			case x, ok := <-r.lines:
+				b = append(b, x...)
+				more = ok
+			default:
+				more = false
+			}
+		}
+		if _, err := r.out.Write(b); err != nil {
+			return
+		}
+	}
+}
