replica: Keep the number of voters odd when VMs replace others

Change: learners vote in pairs or fill an even number; a dead voter of an even number is removed; dead learners too. Ruled out: lost disks (journals of the other two were whole). Before: TestLostVMsAreReplacedInTurn fails after the first replacement. After: passes.

--- a/internal/coordination/replica/cluster_test.go
+++ b/internal/coordination/replica/cluster_test.go
@@ -34,6 +34,10 @@
 	bytes int
 	wait  sync.WaitGroup
 	limit replica.Limits
+
+	founders int // with grow
+
+	grow func(n *node) *replica.Growth // nil keeps to the founders
 }
 
 // node is one run of a replica.
@@ -104,6 +108,17 @@
 	return c
 }
 
+// add starts one more replica with an empty disk.
+func (c *cluster) add(vm string) {
+	n := &node{c: c, vm: vm, disk: fakedisk.New()}
+	n.folder = n.disk
+	c.mu.Lock()
+	c.names = append(c.names, vm)
+	c.nodes[vm] = n
+	c.mu.Unlock()
+	n.start()
+}
+
 func (c *cluster) close() {
 	for _, n := range c.nodes {
 		n.kill()
@@ -121,6 +136,11 @@
 		Limits:   n.c.limit,
 		Log:      slog.New(slog.DiscardHandler),
 	}
+	if n.c.grow != nil {
+		d.Growth = n.c.grow(n)
+		d.Founders = n.c.names[:n.c.founders]
+		d.Contacts = func() []string { return n.c.names }
+	}
 	n.machines = map[uint32]*machine{}
 	for g := range uint32(groups) {
 		n.machines[g] = &machine{}
@@ -174,7 +194,8 @@
 }
 
 func (c *cluster) deliver(from, to string, frame []byte) {
-	if r := c.nodes[to].replica; r != nil {
+	if n := c.nodes[to]; n != nil && n.replica != nil {
+		r := n.replica
 		r.Receive(from, frame)
 	}
 }
--- a/internal/coordination/replica/formation.go
+++ b/internal/coordination/replica/formation.go
@@ -11,6 +11,7 @@
 const (
 	helloInterval  = 100 * time.Millisecond
 	newcomerExpiry = 2 * time.Second
+	deadLearner    = 4               // times the silence of a dead voter; a learner costs nothing while it is silent
 	lonelyTimeout  = 2 * time.Second // a replica that heard no leader for this long may be a member no more
 )
 
@@ -122,7 +123,7 @@
 			return
 		}
 	}
-	if r.d.Growth != nil {
+	if r.d.Growth != nil && !r.shrink(now, m) {
 		r.empty(now, m)
 	}
 }
@@ -149,13 +150,24 @@
 		r.change(now, m, f.Without(v.ID), "dead voter removed")
 		return true
 	}
-	if len(f.Voters) < g.Voters {
+	if len(f.Voters)%2 == 0 || len(f.Voters)+2 <= g.Voters && r.caughtUp(now, m) >= 2 {
 		r.change(now, m, f.WithVoter(l), "learner promoted")
 		return true
 	}
 	return false
 }
 
+// caughtUp counts the learners that could vote.
+func (r *Replica) caughtUp(now time.Time, m *member) int {
+	n := 0
+	for _, l := range m.core.Configuration().Learners {
+		if m.core.CaughtUp(now, l.ID) {
+			n++
+		}
+	}
+	return n
+}
+
 // admits reports whether a VM that was never a member may learn: a vote is free, or will be.
 func (r *Replica) admits(now time.Time, m *member, vm string) bool {
 	g := r.d.Growth
@@ -163,7 +175,7 @@
 		return false
 	}
 	f := m.core.Configuration()
-	spare := 1 // a learner that replaces the next voter lost
+	spare := 1 // a learner that replaces the next voter lost, or votes with another one
 	for _, v := range f.Voters {
 		if slices.Contains(g.Leaving(), v.VM) {
 			spare++
@@ -185,6 +197,23 @@
 	return consensus.Member{}, false
 }
 
+// shrink drops a dead voter of an even number, which bears no more losses than one less.
+func (r *Replica) shrink(now time.Time, m *member) bool {
+	f := m.core.Configuration()
+	for _, l := range f.Learners {
+		if m.core.Silence(now, l.ID) >= deadLearner*r.d.Growth.DeadAfter {
+			r.change(now, m, f.Without(l.ID), "dead learner removed")
+			return true
+		}
+	}
+	v, ok := r.dead(now, m)
+	if !ok || len(f.Voters)%2 != 0 || len(f.Voters) <= 2 || !m.core.Reachable(now, f.Without(v.ID)) {
+		return false
+	}
+	r.change(now, m, f.Without(v.ID), "dead voter removed")
+	return true
+}
+
 // empty takes the vote of a VM that is to leave, once enough others vote; a leader hands on first.
 func (r *Replica) empty(now time.Time, m *member) {
 	g := r.d.Growth
