consensus: Count a member's silence from when its leader first knew it

Change: silence counts from the creation of the member's progress at the leader. Ruled out: hellos lost (the learner was added each time). Test: TestLostVMsAreReplacedInTurn with slow links fails without the change.

--- a/internal/coordination/consensus/leader.go
+++ b/internal/coordination/consensus/leader.go
@@ -327,13 +327,13 @@
 	return now.Sub(c.origin.Add(time.Duration(p.acked))) < c.s.Timing.ElectionMin
 }
 
-// Silence returns for how long a member has not answered this leader; it counts from the start of the leadership.
+// Silence returns for how long a member has not answered this leader; it counts from when the leader first knew the member.
 func (c *Core) Silence(now time.Time, id uint64) time.Duration {
 	p := c.peers[id]
 	if p == nil || id == c.s.Self.ID {
 		return 0
 	}
-	return now.Sub(later(c.origin.Add(time.Duration(p.acked)), c.ledAt))
+	return now.Sub(later(c.origin.Add(time.Duration(p.acked)), p.since))
 }
 
 func later(a, b time.Time) time.Time {
--- a/internal/coordination/consensus/progress.go
+++ b/internal/coordination/consensus/progress.go
@@ -10,13 +10,14 @@
 	paused   bool   // a probe is on its way
 	inflight int    // appends that are not answered
 	moved    time.Time
-	acked    uint64 // Sent of the newest round that was answered
+	acked    uint64    // Sent of the newest round that was answered
+	since    time.Time // when the leader began to follow the member
 	snapshot *Snapshot
 	offset   uint64 // of the snapshot's next chunk
 }
 
 func newProgress(next uint64, now time.Time) *progress {
-	return &progress{next: next, probing: true, moved: now}
+	return &progress{next: next, probing: true, moved: now, since: now}
 }
 
 // probe goes back to what is known to match.
--- a/internal/coordination/replica/growth_test.go
+++ b/internal/coordination/replica/growth_test.go
@@ -46,6 +46,8 @@
 			synctest.Test(t, func(t *testing.T) {
 				c := newGrowing(t, founders, noneLeaving)
 				defer c.close()
+				c.delay = 20 * time.Millisecond // a learner does not answer between two looks of the leader
+				time.Sleep(time.Minute)         // nor is it dead because the leader is old
 				for i := range 6 {
 					c.propose(1, fmt.Sprint("command ", i))
 					lost := c.names[i]
