replica: Let the test of replaced VMs fail without the mend before

With VMs that are added 60 ms further away it fails without the change (vm-3 stays a voter) and passes with it. The test's own data races (list of names) are mended too.

--- a/internal/coordination/replica/cluster_test.go
+++ b/internal/coordination/replica/cluster_test.go
@@ -35,7 +35,8 @@
 	wait  sync.WaitGroup
 	limit replica.Limits
 
-	founders int // with grow
+	founders int           // with grow
+	added    time.Duration // further delay of VMs that were added
 
 	grow func(n *node) *replica.Growth // nil keeps to the founders
 }
@@ -108,6 +109,13 @@
 	return c
 }
 
+// known returns the VMs that were ever started.
+func (c *cluster) known() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Clone(c.names)
+}
+
 // add starts one more replica with an empty disk.
 func (c *cluster) add(vm string) {
 	n := &node{c: c, vm: vm, disk: fakedisk.New()}
@@ -138,8 +146,8 @@
 	}
 	if n.c.grow != nil {
 		d.Growth = n.c.grow(n)
-		d.Founders = n.c.names[:n.c.founders]
-		d.Contacts = func() []string { return n.c.names }
+		d.Founders = n.c.known()[:n.c.founders]
+		d.Contacts = n.c.known
 	}
 	n.machines = map[uint32]*machine{}
 	for g := range uint32(groups) {
@@ -185,6 +193,9 @@
 		return
 	}
 	d := c.delay * time.Duration(1+c.rand.IntN(3))
+	if c.grow != nil && !slices.Contains(c.names[:c.founders], vm) {
+		d += c.added
+	}
 	c.wait.Go(func() {
 		time.Sleep(d)
 		c.mu.Lock()
--- a/internal/coordination/replica/growth_test.go
+++ b/internal/coordination/replica/growth_test.go
@@ -18,6 +18,7 @@
 func newGrowing(t *testing.T, founders int, leaving func() []string) *cluster {
 	c := newCluster(t, 1, founders, smallLimits())
 	c.founders = founders
+	c.added = 60 * time.Millisecond // more than two looks of the leader
 	c.grow = func(*node) *replica.Growth {
 		return &replica.Growth{Voters: 5, DeadAfter: 1500 * time.Millisecond, Leaving: leaving, Fewest: 2}
 	}
@@ -46,8 +47,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				c := newGrowing(t, founders, noneLeaving)
 				defer c.close()
-				c.delay = 20 * time.Millisecond // a learner does not answer between two looks of the leader
-				time.Sleep(time.Minute)         // nor is it dead because the leader is old
+				time.Sleep(time.Minute) // a learner that has not answered yet is not dead because the leader is old
 				for i := range 6 {
 					c.propose(1, fmt.Sprint("command ", i))
 					lost := c.names[i]
