filler: Let items that can still be on time go first, in every free place

Change: run times are learned by size; late items go last and give way; no place is kept free, since a run gives way within milliseconds and goes on later from its last event.

--- a/internal/command/node/control.go
+++ b/internal/command/node/control.go
@@ -23,7 +23,7 @@
 // Timing of a control VM.
 const (
 	listInterval  = 500 * time.Millisecond // each read is charged; an upstream that leaves is known in time
-	leadInterval  = 100 * time.Millisecond
+	leadInterval  = 40 * time.Millisecond
 	deadAfter     = 1500 * time.Millisecond // a voter may be replaced; well within the time for catching up
 	commitTimeout = 2500 * time.Millisecond // of an operator's change
 	retireSettle  = time.Second             // until the batch VMs know who leaves
@@ -71,11 +71,16 @@
 	return c, err
 }
 
-// groupTiming spares processor time of small VMs.
+// groupTiming finds a lost leader soon; the VMs of a region answer within a few milliseconds.
 func groupTiming() consensus.Timing {
-	t := consensus.DefaultTiming()
-	t.Heartbeat = 120 * time.Millisecond
-	return t
+	return consensus.Timing{
+		Heartbeat:   80 * time.Millisecond,
+		ElectionMin: 350 * time.Millisecond,
+		ElectionMax: 600 * time.Millisecond,
+		RetryMax:    200 * time.Millisecond,
+		Resend:      300 * time.Millisecond,
+		DriftDenom:  20,
+	}
 }
 
 // sender carries messages of the groups.
--- a/internal/command/node/member.go
+++ b/internal/command/node/member.go
@@ -20,7 +20,7 @@
 const (
 	syncInterval = 200 * time.Millisecond // a tenth of the time in which a configuration must be in force
 	syncPerVM    = 4 * time.Millisecond   // longer in large fleets, so that the leading VM is not overrun
-	syncTimeout  = 600 * time.Millisecond
+	syncTimeout  = 350 * time.Millisecond
 	syncRetry    = 40 * time.Millisecond
 	reloadEvery  = 2 * time.Second // while no control VM answers
 	leaderShun   = time.Second     // after a failed call
--- a/internal/coordination/filler/filler.go
+++ b/internal/coordination/filler/filler.go
@@ -5,12 +5,6 @@
 	"time"
 )
 
-// Policy of a Plan.
-const (
-	reserve   = 1               // places of an upstream left to the next online request
-	urgentDue = 8 * time.Second // items due sooner may take the reserve too
-)
-
 // Key names an item.
 type Key struct {
 	Job  string
@@ -26,18 +20,23 @@
 	Closed  bool // takes no batch items now
 }
 
+// Task is an item with what its place in the order depends on.
+type Task struct {
+	Key  Key
+	Due  time.Time
+	Left time.Duration // that it still has to run, as far as is known
+}
+
 // Run is an item that runs.
 type Run struct {
-	Key      Key
+	Task
 	Upstream string
-	Due      time.Time
 }
 
 // Want is an item that waits.
 type Want struct {
-	Key     Key
+	Task
 	Service string
-	Due     time.Time
 }
 
 // Start sends an item to an upstream.
@@ -46,7 +45,26 @@
 	Upstream string
 }
 
-// Plan returns the items to start, in order of their due times, and the runs that must give way.
+// late reports whether an item will miss its due time even if it runs from now on.
+func (t Task) late(now time.Time) bool {
+	return now.Add(t.Left).After(t.Due)
+}
+
+// before orders items: those that can be on time by their due times, then the others by theirs.
+func before(now time.Time, a, b Task) int {
+	x, y := a.late(now), b.late(now)
+	switch {
+	case x == y:
+		return a.Due.Compare(b.Due)
+	case x:
+		return 1
+	}
+	return -1
+}
+
+// Plan returns the items to start, the most urgent first, and the runs that must give way.
+//
+// Items take every free place, as they give way at once. Runs give way to online requests, and those that will be late anyway to items that can still be on time.
 func Plan(now time.Time, rooms []Room, running []Run, waiting []Want) (starts []Start, stops []Key) {
 	used := map[string][]Run{}
 	for _, r := range running {
@@ -57,33 +75,48 @@
 	for _, r := range rooms {
 		n := r.Slots - r.Online - len(used[r.ID])
 		if n < 0 {
-			stops = append(stops, latest(used[r.ID], min(-n, len(used[r.ID])))...)
+			stops = append(stops, last(now, used[r.ID], -n)...)
 		}
 		if !r.Closed {
 			free[r.ID] = n
 			services[r.Service] = append(services[r.Service], r)
 		}
 	}
-	slices.SortStableFunc(waiting, func(a, b Want) int { return a.Due.Compare(b.Due) })
+	slices.SortStableFunc(waiting, func(a, b Want) int { return before(now, a.Task, b.Task) })
+	unplaced := map[string]int{}
 	for _, w := range waiting {
-		keep := reserve
-		if w.Due.Sub(now) < urgentDue {
-			keep = 0
-		}
-		if id := freest(services[w.Service], free); id != "" && free[id] > keep {
+		id := freest(services[w.Service], free)
+		switch {
+		case id != "" && free[id] > 0:
 			free[id]--
 			starts = append(starts, Start{Key: w.Key, Upstream: id})
+		case !w.late(now):
+			unplaced[w.Service]++
+		}
+	}
+	return starts, append(stops, yield(now, rooms, used, unplaced, stops)...)
+}
+
+// yield returns the late runs that make room for items that can be on time.
+func yield(now time.Time, rooms []Room, used map[string][]Run, unplaced map[string]int, stopped []Key) []Key {
+	var l []Key
+	for _, r := range rooms {
+		for _, x := range used[r.ID] {
+			if unplaced[r.Service] > 0 && !r.Closed && x.late(now) && !slices.Contains(stopped, x.Key) {
+				unplaced[r.Service]--
+				l = append(l, x.Key)
+			}
 		}
 	}
-	return starts, stops
+	return l
 }
 
-// latest returns the n runs that are due last.
-func latest(l []Run, n int) []Key {
+// last returns the n runs that matter least.
+func last(now time.Time, l []Run, n int) []Key {
 	l = slices.Clone(l)
-	slices.SortStableFunc(l, func(a, b Run) int { return b.Due.Compare(a.Due) })
+	slices.SortStableFunc(l, func(a, b Run) int { return before(now, b.Task, a.Task) })
 	var k []Key
-	for _, r := range l[:n] {
+	for _, r := range l[:min(n, len(l))] {
 		k = append(k, r.Key)
 	}
 	return k
--- a/internal/transport/batchrun/runner.go
+++ b/internal/transport/batchrun/runner.go
@@ -18,7 +18,7 @@
 // Timing of a Runner.
 const (
 	idleStep     = 200 * time.Millisecond // between looks when nothing happens
-	leastStep    = 10 * time.Millisecond  // so that many events share a look
+	leastStep    = 4 * time.Millisecond   // so that many events share a look
 	commitTime   = 3 * time.Second        // of one result
 	refusedPause = 150 * time.Millisecond // an upstream that had no room gets no item
 	failedPause  = time.Second            // an upstream that broke off or fell silent gets no item
@@ -52,6 +52,7 @@
 	pause   map[filler.Key]time.Time // no run of an item before
 	closed  map[string]time.Time     // no item to an upstream before
 	ending  map[filler.Key]bool      // the result is being committed
+	pace    filler.Pace
 	wg      sync.WaitGroup
 }
 
@@ -59,6 +60,8 @@
 type run struct {
 	filler.Run
 	partial *partial
+	began   time.Time
+	tokens  int
 	cancel  context.CancelFunc
 }
 
@@ -66,6 +69,7 @@
 type partial struct {
 	last uint64 // event
 	data []string
+	ran  time.Duration
 }
 
 // New returns a Runner that learns of online requests from a Hub.
@@ -139,7 +143,9 @@
 	r.stopEnded(jobs)
 	var running []filler.Run
 	for _, x := range r.runs {
-		running = append(running, x.Run)
+		y := x.Run
+		y.Left = r.pace.Left(x.tokens, x.partial.ran+now.Sub(x.began))
+		running = append(running, y)
 	}
 	starts, stops := filler.Plan(now, r.rooms(now), running, waiting)
 	for _, k := range stops {
@@ -191,7 +197,12 @@
 		}
 		return filler.Want{}, false
 	}
-	return filler.Want{Key: k, Service: relay.Choose(u.Targets), Due: j.Accepted.Add(u.Due)}, true
+	ran := time.Duration(0)
+	if t := r.partial[k]; t != nil {
+		ran = t.ran
+	}
+	t := filler.Task{Key: k, Due: j.Accepted.Add(u.Due), Left: r.pace.Left(j.Items[k.Item].Tokens, ran)}
+	return filler.Want{Task: t, Service: relay.Choose(u.Targets)}, true
 }
 
 // stopEnded ends the runs of jobs that are ended.
@@ -227,13 +238,13 @@
 func (r *Runner) start(ctx context.Context, s filler.Start, p *plan.Plan) {
 	var q *relay.Request
 	var due time.Time
-	account, attempts := "", 1
+	account, attempts, size := "", 1, 0
 	r.d.Docket.Read(s.Key.Job, func(j *docket.Job) {
 		i := j.Items[s.Key.Item]
 		if u := p.Route(j.Host, i.Path); u != nil {
 			due, attempts = j.Accepted.Add(u.Due), u.Attempts
 		}
-		account = j.Account
+		account, size = j.Account, i.Tokens
 		q = newRequest(j.Host, i)
 	})
 	address := ""
@@ -251,7 +262,8 @@
 		t = &partial{}
 		r.partial[s.Key] = t
 	}
-	x := &run{Run: filler.Run{Key: s.Key, Upstream: s.Upstream, Due: due}, partial: t, cancel: cancel}
+	x := &run{Run: filler.Run{Task: filler.Task{Key: s.Key, Due: due}, Upstream: s.Upstream}, partial: t, cancel: cancel,
+		began: time.Now(), tokens: size}
 	r.runs[s.Key] = x
 	r.wg.Go(func() {
 		defer cancel()
@@ -280,9 +292,11 @@
 	defer r.mu.Unlock()
 	defer r.signal()
 	delete(r.runs, x.Key)
+	x.partial.ran += now.Sub(x.began)
 	r.d.Log.Debug("item run ended", "job", x.Key.Job, "item", x.Key.Item, "upstream", x.Upstream, "outcome", int(o))
 	switch o {
 	case complete:
+		r.pace.Learn(x.tokens, x.partial.ran)
 		r.list(ctx, x.Key, docket.Complete, strings.Join(x.partial.data, "\n"))
 	case hopeless:
 		r.list(ctx, x.Key, docket.Errored, "")
--- a/internal/transport/link/peer.go
+++ b/internal/transport/link/peer.go
@@ -10,8 +10,8 @@
 
 // Timing of connections.
 const (
-	dialTimeout = time.Second            // an opening packet that is dropped is sent again only after seconds
-	redialDelay = 100 * time.Millisecond // between failed dials
+	dialTimeout = 300 * time.Millisecond // several round trips of the slowest region; a lost packet is sent again only after seconds
+	redialDelay = 50 * time.Millisecond // between failed dials
 	callTimeout = 5 * time.Second        // of a call whose context has no deadline
 )
 
