--- a/internal/transport/link/peer.go
+++ b/internal/transport/link/peer.go
@@ -11,7 +11,7 @@
 // Timing of connections.
 const (
 	dialTimeout = 300 * time.Millisecond // several round trips of the slowest region; a lost packet is sent again only after seconds
-	redialDelay = 50 * time.Millisecond // between failed dials
+	redialDelay = 50 * time.Millisecond  // between failed dials
 	callTimeout = 5 * time.Second        // of a call whose context has no deadline
 )
 
