--- a/internal/coordination/share/ledger.go
+++ b/internal/coordination/share/ledger.go
@@ -41,7 +41,7 @@
 	granted = min(n, int(a.level))
 	a.level -= float64(granted)
 	if granted < n {
-		after = time.Duration((1 - (a.level - float64(int(a.level)))) / limit.Rate*float64(time.Second)) + rounding
+		after = time.Duration((1-(a.level-float64(int(a.level))))/limit.Rate*float64(time.Second)) + rounding
 	}
 	return granted, after
 }
--- /dev/null
+++ b/internal/state/docket/docket_test.go
@@ -0,0 +1,111 @@
+package docket_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"snipetack/internal/state/docket"
+)
+
+func job(id string, tokens ...int) docket.Job {
+	j := docket.Job{ID: id, Account: "x", Route: "r", Host: "h", Accepted: time.Unix(1000, 5)}
+	for i, n := range tokens {
+		j.Items = append(j.Items, docket.Item{ID: id + string(rune('a'+i)), Path: "/p", Headers: map[string]string{"K": "v"},
+			Body: []byte("body"), Tokens: n})
+	}
+	return j
+}
+
+func apply(d *docket.Docket, c docket.Command) docket.Verdict {
+	return docket.Verdict(d.Apply(0, docket.EncodeCommand(c))[0])
+}
+
+func TestJobIsAcceptedOnce(t *testing.T) {
+	d := docket.New()
+	c := docket.Command{Action: docket.Submit, Job: job("j", 10, 20), MaxWaiting: 30}
+	require.Equal(t, docket.Accepted, apply(d, c))
+	require.Equal(t, docket.Accepted, apply(d, c), "a repeat is accepted again, though there is no room for it twice")
+	n := 0
+	d.View(func(*docket.Job) bool { n++; return true })
+	require.Equal(t, 1, n)
+	c.Job.Account = "y"
+	require.Equal(t, docket.Invalid, apply(d, c), "another account can't take the id")
+}
+
+func TestWaitingTokensOfAnAccountAreBounded(t *testing.T) {
+	d := docket.New()
+	submit := func(j docket.Job) docket.Verdict {
+		return apply(d, docket.Command{Action: docket.Submit, Job: j, MaxWaiting: 30})
+	}
+	require.Equal(t, docket.Accepted, submit(job("j", 10, 20)))
+	require.Equal(t, docket.NoRoom, submit(job("k", 1)))
+	other := job("o", 30)
+	other.Account = "y"
+	require.Equal(t, docket.Accepted, submit(other))
+	apply(d, docket.Command{Action: docket.List, Job: docket.Job{ID: "j"}, Item: 0, Outcome: docket.Complete})
+	require.Equal(t, docket.Accepted, submit(job("k", 10)), "finished items make room")
+	apply(d, docket.Command{Action: docket.End, Job: docket.Job{ID: "j", Account: "x"}})
+	require.Equal(t, docket.Accepted, submit(job("l", 20)), "ended jobs make room")
+}
+
+func TestFirstResultStaysAtItsPosition(t *testing.T) {
+	d := docket.New()
+	apply(d, docket.Command{Action: docket.Submit, Job: job("j", 1, 1, 1)})
+	list := func(item int, o docket.Outcome, text string) {
+		apply(d, docket.Command{Action: docket.List, Job: docket.Job{ID: "j"}, Item: item, Outcome: o, Output: text})
+	}
+	list(2, docket.Complete, "first")
+	list(0, docket.Errored, "")
+	list(2, docket.Complete, "second")
+	list(9, docket.Complete, "no such item")
+	d.Read("j", func(j *docket.Job) {
+		require.Equal(t, []int{2, 0}, j.Listed)
+		require.Equal(t, "first", j.Items[2].Output)
+		require.Nil(t, j.Items[2].Body)
+		require.NotNil(t, j.Items[1].Body)
+		require.False(t, j.Done())
+	})
+	list(1, docket.Complete, "x")
+	d.Read("j", func(j *docket.Job) { require.True(t, j.Done()) })
+}
+
+func TestEndAndForget(t *testing.T) {
+	d := docket.New()
+	require.Equal(t, docket.NoJob, apply(d, docket.Command{Action: docket.End, Job: docket.Job{ID: "j", Account: "x"}}))
+	apply(d, docket.Command{Action: docket.Submit, Job: job("j", 1)})
+	require.Equal(t, docket.NoJob, apply(d, docket.Command{Action: docket.End, Job: docket.Job{ID: "j", Account: "y"}}))
+	for range 2 {
+		require.Equal(t, docket.Accepted, apply(d, docket.Command{Action: docket.End, Job: docket.Job{ID: "j", Account: "x"}}))
+	}
+	apply(d, docket.Command{Action: docket.Forget, Job: docket.Job{ID: "j"}})
+	require.False(t, d.Read("j", func(*docket.Job) {}))
+}
+
+func TestSnapshotHoldsEverything(t *testing.T) {
+	d := docket.New()
+	apply(d, docket.Command{Action: docket.Submit, Job: job("j", 1, 2)})
+	apply(d, docket.Command{Action: docket.Submit, Job: job("k", 3)})
+	apply(d, docket.Command{Action: docket.Fail, Job: docket.Job{ID: "j"}, Item: 0})
+	apply(d, docket.Command{Action: docket.List, Job: docket.Job{ID: "j"}, Item: 1, Outcome: docket.Complete, Output: "a\nb"})
+	apply(d, docket.Command{Action: docket.End, Job: docket.Job{ID: "k", Account: "x"}})
+	e := docket.New()
+	changed := e.Changed()
+	require.NoError(t, e.Restore(d.Snapshot()))
+	<-changed
+	require.Equal(t, d.Snapshot(), e.Snapshot())
+	e.Read("j", func(j *docket.Job) {
+		require.Equal(t, 1, j.Items[0].Failures)
+		require.Equal(t, []int{1}, j.Listed)
+		require.True(t, j.Accepted.Equal(time.Unix(1000, 5)))
+	})
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add(docket.EncodeCommand(docket.Command{Action: docket.Submit, Job: job("j", 1)}))
+	f.Fuzz(func(_ *testing.T, b []byte) {
+		docket.New().Apply(0, b)
+		_ = docket.New().Restore(b)
+	})
+}
--- /dev/null
+++ b/internal/transport/link/link_test.go
@@ -0,0 +1,153 @@
+package link_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"snipetack/internal/testing/fakenet"
+	"snipetack/internal/transport/link"
+)
+
+const delay = time.Millisecond
+
+// vm is one end of the links of a test.
+type vm struct {
+	*link.Link
+	address string
+	stop    func()
+
+	mu  sync.Mutex
+	got []string // one-way frames
+}
+
+func (v *vm) received() int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return len(v.got)
+}
+
+func start(t *testing.T, n *fakenet.Net, ip string) *vm {
+	v := &vm{address: net.JoinHostPort(ip, "7000")}
+	v.Link = link.New(link.Deps{Self: v.address, Network: n.Host(ip), Log: slog.New(slog.DiscardHandler)})
+	v.Handle(link.Sync, func(_ context.Context, from string, b []byte) ([]byte, error) {
+		if string(b) == "fail" {
+			return nil, errors.New("no")
+		}
+		return fmt.Appendf(nil, "%s from %s", b, from), nil
+	})
+	v.Receive(link.Load, func(_ string, b []byte) {
+		v.mu.Lock()
+		defer v.mu.Unlock()
+		v.got = append(v.got, string(b))
+	})
+	l, err := n.Host(ip).Listen(v.address)
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error)
+	go func() { done <- v.Serve(ctx, l) }()
+	v.stop = func() {
+		cancel()
+		<-done
+	}
+	return v
+}
+
+func world(t *testing.T, f func(n *fakenet.Net, a, b *vm)) {
+	synctest.Test(t, func(t *testing.T) {
+		n := fakenet.New(1, fakenet.Link{Delay: delay})
+		a, b := start(t, n, "10.0.0.1"), start(t, n, "10.0.0.2")
+		f(n, a, b)
+		a.stop()
+		b.stop()
+		n.Close()
+		time.Sleep(time.Minute) // watches end at their next tick
+	})
+}
+
+func call(v *vm, to string, body string, limit time.Duration) (string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	b, err := v.Call(ctx, to, link.Sync, []byte(body))
+	return string(b), err
+}
+
+func TestCallsAndFrames(t *testing.T) {
+	world(t, func(_ *fakenet.Net, a, b *vm) {
+		x, err := call(a, b.address, "hello", time.Second)
+		require.NoError(t, err)
+		require.Equal(t, "hello from 10.0.0.1:7000", x)
+		x, err = call(a, a.address, "self", time.Second)
+		require.NoError(t, err)
+		require.Equal(t, "self from 10.0.0.1:7000", x)
+		_, err = call(a, b.address, "fail", time.Second)
+		require.Equal(t, link.Refused{Reason: "no"}, err)
+		for range 10 {
+			a.Send(b.address, link.Load, []byte("x"))
+		}
+		time.Sleep(10 * delay)
+		require.Equal(t, 10, b.received())
+	})
+}
+
+func TestLargeAnswersPass(t *testing.T) {
+	world(t, func(_ *fakenet.Net, a, b *vm) {
+		body := string(bytes.Repeat([]byte("x"), 3<<20))
+		x, err := call(a, b.address, body, 10*time.Second)
+		require.NoError(t, err)
+		require.Len(t, x, len(body)+len(" from 10.0.0.1:7000"))
+	})
+}
+
+// TestSilentConnectionIsReplaced lets something on the way forget the connection: nothing comes back, and nobody is told.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	world(t, func(n *fakenet.Net, a, b *vm) {
+		_, err := call(a, b.address, "first", time.Second)
+		require.NoError(t, err)
+		n.Silence("10.0.0.1", "10.0.0.2")
+		began := time.Now()
+		for {
+			if _, err = call(a, b.address, "again", 200*time.Millisecond); err == nil {
+				break
+			}
+			require.Less(t, time.Since(began), 5*time.Second)
+		}
+	})
+}
+
+// TestOneWayTrafficFindsASilentConnection sends frames that nobody answers, as the replicated groups do.
+func TestOneWayTrafficFindsASilentConnection(t *testing.T) {
+	world(t, func(n *fakenet.Net, a, b *vm) {
+		a.Send(b.address, link.Load, []byte("first"))
+		time.Sleep(time.Second)
+		n.Silence("10.0.0.1", "10.0.0.2")
+		for range 40 {
+			a.Send(b.address, link.Load, []byte("x"))
+			time.Sleep(100 * time.Millisecond)
+		}
+		require.Greater(t, b.received(), 10)
+	})
+}
+
+func TestCallsFailWhileCutOffAndGoOnAfterwards(t *testing.T) {
+	world(t, func(n *fakenet.Net, a, b *vm) {
+		n.Cut("10.0.0.1", "10.0.0.2")
+		n.Cut("10.0.0.2", "10.0.0.1")
+		_, err := call(a, b.address, "x", time.Second)
+		require.Error(t, err)
+		n.Heal("10.0.0.1", "10.0.0.2")
+		n.Heal("10.0.0.2", "10.0.0.1")
+		time.Sleep(time.Second)
+		_, err = call(a, b.address, "x", time.Second)
+		require.NoError(t, err)
+	})
+}
