--- /dev/null
+++ b/internal/transport/relay/relay_test.go
@@ -0,0 +1,317 @@
+package relay_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"snipetack/internal/coordination/dispatch"
+	"snipetack/internal/coordination/roster"
+	"snipetack/internal/coordination/share"
+	"snipetack/internal/state/plan"
+	"snipetack/internal/state/result"
+	"snipetack/internal/transport/httpconn"
+	"snipetack/internal/transport/relay"
+)
+
+// reaction is what an upstream of a test does with one request.
+type reaction struct {
+	err    error
+	wait   time.Duration // before the header
+	status int           // 200 where it is 0
+	body   string
+	end    error // of the body; io.EOF where it is nil
+	stall  bool  // the body goes on without bytes until the run is cancelled
+	notRun bool
+	other  bool
+	plain  bool // no signature
+}
+
+// upstreams react to requests one after the other.
+type upstreams struct {
+	reactions []reaction
+	sent      []relay.Sending
+}
+
+func (u *upstreams) Send(ctx context.Context, _ *relay.Request, s relay.Sending) (*relay.Answer, error) {
+	u.sent = append(u.sent, s)
+	r := u.reactions[min(len(u.sent), len(u.reactions))-1]
+	select {
+	case <-time.After(r.wait):
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	if r.err != nil {
+		return nil, r.err
+	}
+	a := &relay.Answer{Status: 200, Length: -1, NotRun: r.notRun, Other: r.other, Signed: !r.plain, Header: http.Header{"Up": {s.Upstream}}}
+	if r.status != 0 {
+		a.Status = r.status
+	}
+	a.Body = &body{ctx: ctx, text: strings.NewReader(r.body), end: r.end, stall: r.stall}
+	return a, nil
+}
+
+// body yields a text and then an error, or nothing more.
+type body struct {
+	ctx   context.Context //nolint:containedctx // ends the stall as a connection does
+	text  *strings.Reader
+	end   error
+	stall bool
+}
+
+func (b *body) Read(x []byte) (int, error) {
+	n, err := b.text.Read(x)
+	if err == nil {
+		return n, nil
+	}
+	if b.stall {
+		<-b.ctx.Done()
+		return 0, b.ctx.Err()
+	}
+	if b.end != nil {
+		return 0, b.end
+	}
+	return 0, io.EOF
+}
+
+func (b *body) Close() error { return nil }
+
+// caller keeps what a caller gets.
+type caller struct {
+	status  int
+	header  http.Header
+	body    strings.Builder
+	failure *result.Failure
+	aborted bool
+	took    time.Duration
+}
+
+func (c *caller) Begin(status int, h http.Header, _ int64) { c.status, c.header = status, h }
+func (c *caller) Write(b []byte) (int, error)              { return c.body.Write(b) }
+func (c *caller) Flush() error                             { return nil }
+func (c *caller) Refuse(f *result.Failure)                 { c.failure = f }
+func (c *caller) Abort()                                   { c.aborted = true }
+
+// limits admit all but the account "over".
+type limits struct{}
+
+func (limits) Take(_ context.Context, account string, _ share.Limit) (bool, time.Duration) {
+	return account != "over", time.Second
+}
+
+func newPlan(kind plan.Kind, attempts int, resumable bool) *plan.Plan {
+	p := &plan.Plan{
+		Routes: []plan.Route{{Name: "r", Host: "h", Prefix: "/", Kind: kind, Timeout: 5 * time.Second, Objective: 300 * time.Millisecond,
+			GapLimit: 300 * time.Millisecond, Attempts: attempts, Resumable: resumable, Targets: []plan.Target{{Service: "s", Weight: 1}}}},
+		Accounts: map[string]plan.Account{"x": {Name: "x", Keys: []string{"k"}}, "over": {Name: "over", Keys: []string{"o"}}},
+	}
+	p.Index()
+	return p
+}
+
+// serve sends one request through a relay in front of three upstreams.
+func serve(t *testing.T, p *plan.Plan, u *upstreams, change func(q *relay.Request)) *caller {
+	c := &caller{}
+	synctest.Test(t, func(*testing.T) {
+		pool := dispatch.New("a", func(dispatch.Choice) {})
+		var l []roster.Upstream
+		for i := range 3 {
+			l = append(l, roster.Upstream{ID: fmt.Sprint("up-", i), Service: "s", Address: "a", Slots: 1})
+		}
+		pool.SetUpstreams(time.Now(), l)
+		r := relay.New(relay.Deps{Upstreams: u, Pool: pool, Patience: dispatch.NewPatience(), Quota: limits{},
+			Plan: func() *plan.Plan { return p }, Log: slog.New(slog.DiscardHandler)})
+		q := &relay.Request{ID: "q", Method: "POST", Host: "h", Path: "/p", Target: "/p", Key: "k", Arrived: time.Now(),
+			Deadline: 5 * time.Second}
+		if change != nil {
+			change(q)
+		}
+		began := time.Now()
+		r.Serve(context.Background(), q, c)
+		c.took = time.Since(began)
+		require.Empty(t, pool.InFlight(), "every place is given back")
+	})
+	return c
+}
+
+func events(from, to int) string {
+	var b strings.Builder
+	for i := from; i <= to; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: %d\n\n", i, i)
+	}
+	return b.String()
+}
+
+var errReset = errors.New("connection reset") //nolint:gochecknoglobals // a constant in all but name
+
+// TestRefusalsThatPromiseAreTrue lets attempts fail in every way and looks at what the caller is told.
+func TestRefusalsThatPromiseAreTrue(t *testing.T) {
+	unsent := reaction{err: httpconn.NotSent{Cause: errReset}}
+	table := []struct {
+		name      string
+		kind      plan.Kind
+		attempts  int
+		resumable bool
+		reactions []reaction
+		sends     int
+		status    int // of the answer, or 0
+		code      result.Code
+		ran       result.Ran
+	}{
+		{"unsafe and not sent is sent elsewhere", plan.Unsafe, 1, false, []reaction{unsent, {body: "ok"}}, 2, 200, 0, ""},
+		{"unsafe and not run runs elsewhere", plan.Unsafe, 1, false, []reaction{{notRun: true}, {other: true}, {body: "ok"}}, 3, 200, 0, ""},
+		{"unsafe and broken is not repeated", plan.Unsafe, 3, false, []reaction{{err: errReset}}, 1, 0, result.UpstreamBroken, result.Unknown},
+		{"unsafe and truncated is not repeated", plan.Unsafe, 3, false, []reaction{{body: "ha", end: errReset}}, 1, 0, result.UpstreamBroken, result.Unknown},
+		{"unsafe and silent waits to the end", plan.Unsafe, 3, false, []reaction{{wait: time.Hour}}, 1, 0, result.UpstreamSilent, result.Unknown},
+		{"never sent is not run", plan.Unsafe, 1, false, []reaction{unsent}, 3, 0, result.QueueFull, result.NotRun},
+		{"safe and broken is repeated", plan.Safe, 2, false, []reaction{{err: errReset}, {body: "ok"}}, 2, 200, 0, ""},
+		{"safe and truncated is repeated", plan.Safe, 2, false, []reaction{{body: "o", end: errReset}, {body: "ok"}}, 2, 200, 0, ""},
+		{"safe has no more attempts than the route", plan.Safe, 2, false, []reaction{{err: errReset}}, 2, 0, result.UpstreamBroken, result.Unknown},
+		{"a failure of the upstream is passed on", plan.Safe, 2, false, []reaction{{status: 500, body: "bad"}}, 1, 500, 0, ""},
+		{"an unsigned success is none", plan.Unsafe, 2, false, []reaction{{body: "ok", plain: true}}, 1, 0, result.UpstreamBroken, result.Unknown},
+		{"a stream that can't be resumed is not repeated", plan.Stream, 2, false, []reaction{{err: errReset}}, 1, 0, result.UpstreamBroken, result.Unknown},
+	}
+	for _, c := range table {
+		t.Run(c.name, func(t *testing.T) {
+			u := &upstreams{reactions: c.reactions}
+			got := serve(t, newPlan(c.kind, c.attempts, c.resumable), u, nil)
+			require.Len(t, u.sent, c.sends)
+			if c.status != 0 {
+				require.Nil(t, got.failure)
+				require.Equal(t, c.status, got.status)
+				return
+			}
+			require.Equal(t, c.code, got.failure.Code)
+			require.Equal(t, c.ran, got.failure.Ran)
+		})
+	}
+}
+
+func TestRequestsThatAreNotAllowed(t *testing.T) {
+	table := []struct {
+		name   string
+		change func(q *relay.Request)
+		code   result.Code
+	}{
+		{"another host", func(q *relay.Request) { q.Host = "g" }, result.UnknownRoute},
+		{"no key", func(q *relay.Request) { q.Key = "" }, result.KeyUnknown},
+		{"another key", func(q *relay.Request) { q.Key = "z" }, result.KeyUnknown},
+		{"over the rate", func(q *relay.Request) { q.Key = "o" }, result.RateExceeded},
+	}
+	for _, c := range table {
+		t.Run(c.name, func(t *testing.T) {
+			u := &upstreams{reactions: []reaction{{body: "ok"}}}
+			got := serve(t, newPlan(plan.Safe, 2, false), u, c.change)
+			require.Empty(t, u.sent)
+			require.Equal(t, c.code, got.failure.Code)
+			require.Equal(t, result.NotRun, got.failure.Ran)
+		})
+	}
+}
+
+func TestWithoutConfigurationNothingIsDenied(t *testing.T) {
+	got := serve(t, nil, &upstreams{}, nil)
+	require.Equal(t, result.NotReady, got.failure.Code)
+	require.Positive(t, got.failure.RetryAfter)
+}
+
+// TestStreamsAreResumedWithoutGap breaks streams in many ways; the caller gets each event once, or no whole stream.
+func TestStreamsAreResumedWithoutGap(t *testing.T) {
+	table := []struct {
+		name      string
+		reactions []reaction
+		resumes   []uint64 // of the attempts
+		whole     bool
+	}{
+		{"whole at once", []reaction{{body: events(1, 5)}}, []uint64{0}, true},
+		{"reset between events", []reaction{{body: events(1, 2), end: errReset}, {body: events(3, 5)}}, []uint64{0, 2}, true},
+		{"reset within an event", []reaction{{body: events(1, 2) + "id: 3\nda", end: errReset}, {body: events(3, 5)}}, []uint64{0, 2}, true},
+		{"end within an event", []reaction{{body: events(1, 2) + "id: 3\nda"}, {body: events(3, 5)}}, []uint64{0, 2}, true},
+		{"an event is missing", []reaction{{body: events(1, 2) + events(4, 5)}, {body: events(3, 5)}}, []uint64{0, 2}, true},
+		{"silent in the middle", []reaction{{body: events(1, 2), stall: true}, {body: events(3, 5)}}, []uint64{0, 2}, true},
+		{"silent from the start", []reaction{{wait: time.Hour}, {body: events(1, 5)}}, []uint64{0, 0}, true},
+		{"never whole", []reaction{{body: events(1, 2), end: errReset}, {err: errReset}}, []uint64{0, 2, 2}, false},
+	}
+	for _, c := range table {
+		t.Run(c.name, func(t *testing.T) {
+			u := &upstreams{reactions: c.reactions}
+			got := serve(t, newPlan(plan.Stream, 2, true), u, nil)
+			var resumes []uint64
+			for _, s := range u.sent {
+				resumes = append(resumes, s.Resume)
+			}
+			require.Equal(t, c.resumes, resumes[:len(c.resumes)])
+			if !c.whole {
+				require.True(t, got.aborted)
+				return
+			}
+			require.False(t, got.aborted)
+			require.Equal(t, events(1, 5), got.body.String())
+			require.Less(t, got.took, 700*time.Millisecond)
+		})
+	}
+}
+
+func TestResumedStreamKeepsTheFirstHeader(t *testing.T) {
+	u := &upstreams{reactions: []reaction{{body: events(1, 2), stall: true}, {body: events(3, 5)}}}
+	got := serve(t, newPlan(plan.Stream, 2, true), u, nil)
+	require.Equal(t, u.sent[0].Upstream, got.header.Get("Up"))
+	require.NotEqual(t, u.sent[0].Upstream, u.sent[1].Upstream)
+}
+
+func TestCallerGoesOnFromItsLastEvent(t *testing.T) {
+	u := &upstreams{reactions: []reaction{{body: events(8, 9)}}}
+	got := serve(t, newPlan(plan.Stream, 2, true), u, func(q *relay.Request) { q.Resume = 7 })
+	require.Equal(t, uint64(7), u.sent[0].Resume)
+	require.Equal(t, events(8, 9), got.body.String())
+}
+
+// TestTimeLeftIsPassedOn takes the shorter of the caller's deadline and the route's limit, less what has passed.
+func TestTimeLeftIsPassedOn(t *testing.T) {
+	u := &upstreams{reactions: []reaction{{wait: 100 * time.Millisecond, err: errReset}, {body: "ok"}}}
+	serve(t, newPlan(plan.Safe, 2, false), u, func(q *relay.Request) { q.Deadline = time.Second })
+	require.LessOrEqual(t, u.sent[0].Left, time.Second)
+	require.Equal(t, 100*time.Millisecond, u.sent[0].Left-u.sent[1].Left)
+}
+
+// TestFullFleetRefusesSoon takes every place: a new request is refused within a quarter of its objective, one that has
+// come back waits longer.
+func TestFullFleetRefusesSoon(t *testing.T) {
+	for _, back := range []bool{false, true} {
+		t.Run(fmt.Sprint(back), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				pool := dispatch.New("a", func(dispatch.Choice) {})
+				pool.SetUpstreams(time.Now(), []roster.Upstream{{ID: "up", Service: "s", Slots: 1}})
+				_, _, ok := pool.Take(time.Now(), dispatch.Request{Service: "s"})
+				require.True(t, ok)
+				p := newPlan(plan.Stream, 2, true)
+				r := relay.New(relay.Deps{Upstreams: &upstreams{}, Pool: pool, Patience: dispatch.NewPatience(), Quota: limits{},
+					Plan: func() *plan.Plan { return p }, Log: slog.New(slog.DiscardHandler)})
+				c := &caller{}
+				q := &relay.Request{Host: "h", Path: "/p", Key: "k", Arrived: time.Now(), Deadline: 5 * time.Second}
+				if back {
+					q.Deadline = 3 * time.Second
+				}
+				r.Serve(context.Background(), q, c)
+				waited := time.Since(q.Arrived)
+				require.Equal(t, result.QueueFull, c.failure.Code)
+				require.Positive(t, c.failure.RetryAfter)
+				if back {
+					require.Greater(t, waited, time.Second)
+				} else {
+					require.LessOrEqual(t, waited, 75*time.Millisecond)
+				}
+			})
+		})
+	}
+}
