--- /dev/null
+++ b/internal/transport/batchrun/runner_test.go
@@ -0,0 +1,278 @@
+package batchrun
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"snipetack/internal/coordination/dispatch"
+	"snipetack/internal/coordination/roster"
+	"snipetack/internal/state/docket"
+	"snipetack/internal/state/plan"
+	"snipetack/internal/transport/relay"
+)
+
+const (
+	itemEvents = 20
+	eventTime  = 50 * time.Millisecond
+	slots      = 4
+)
+
+// engine runs items event by event, and fails some as a test says.
+type engine struct {
+	mu      sync.Mutex
+	running int
+	most    int
+	runs    map[string][]relay.Sending // by item
+	status  func(id string, run int) int
+	breakAt func(id string, run int) int // event after which a run breaks off; 0 is never
+}
+
+func (e *engine) Send(ctx context.Context, q *relay.Request, s relay.Sending) (*relay.Answer, error) {
+	e.mu.Lock()
+	e.runs[q.ID] = append(e.runs[q.ID], s)
+	n := len(e.runs[q.ID])
+	e.running++
+	e.most = max(e.most, e.running)
+	e.mu.Unlock()
+	a := &relay.Answer{Status: 200, Signed: true}
+	if e.status != nil {
+		a.Status = e.status(q.ID, n)
+	}
+	end := 0
+	if e.breakAt != nil {
+		end = e.breakAt(q.ID, n)
+	}
+	a.Body = &events{ctx: ctx, e: e, next: s.Resume + 1, end: uint64(end)}
+	return a, nil
+}
+
+// events is the body of a run.
+type events struct {
+	ctx  context.Context //nolint:containedctx // ends the run as a connection does
+	e    *engine
+	next uint64
+	end  uint64
+	once sync.Once
+}
+
+func (x *events) Read(b []byte) (int, error) {
+	if x.next > itemEvents {
+		return 0, io.EOF
+	}
+	if x.end > 0 && x.next > x.end {
+		return 0, errors.New("reset")
+	}
+	select {
+	case <-time.After(eventTime):
+	case <-x.ctx.Done():
+		return 0, x.ctx.Err()
+	}
+	n := copy(b, fmt.Sprintf("id: %d\ndata: %d\n\n", x.next, x.next))
+	x.next++
+	return n, nil
+}
+
+func (x *events) Close() error {
+	x.once.Do(func() {
+		x.e.mu.Lock()
+		defer x.e.mu.Unlock()
+		x.e.running--
+	})
+	return nil
+}
+
+func output() string {
+	var l []string
+	for i := 1; i <= itemEvents; i++ {
+		l = append(l, fmt.Sprint(i))
+	}
+	return strings.Join(l, "\n")
+}
+
+// world is a batch VM that leads.
+type world struct {
+	docket *docket.Docket
+	engine *engine
+	hub    *Hub
+	leads  atomic.Bool
+}
+
+func play(t *testing.T, e *engine, f func(w *world)) {
+	synctest.Test(t, func(*testing.T) {
+		e.runs = map[string][]relay.Sending{}
+		w := &world{docket: docket.New(), engine: e, hub: NewHub()}
+		w.leads.Store(true)
+		p := &plan.Plan{Routes: []plan.Route{{Name: "r", Host: "h", Prefix: "/", Kind: plan.Batch, Due: 18 * time.Second, Attempts: 3,
+			Targets: []plan.Target{{Service: "s", Weight: 1}}}}}
+		p.Index()
+		r := New(Deps{
+			Docket:    w.docket,
+			Upstreams: e,
+			Propose: func(_ context.Context, c []byte) error {
+				w.docket.Apply(0, c)
+				return nil
+			},
+			Leads: w.leads.Load,
+			Plan:  func() *plan.Plan { return p },
+			List: func() []roster.Upstream {
+				return []roster.Upstream{{ID: "up", Service: "s", Address: "a", Slots: slots}}
+			},
+			Retention: time.Minute,
+			Log:       slog.New(slog.DiscardHandler),
+		}, w.hub)
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan error)
+		go func() { done <- r.Run(ctx) }()
+		f(w)
+		cancel()
+		<-done
+	})
+}
+
+func (w *world) submit(id string, items int) {
+	j := docket.Job{ID: id, Account: "x", Host: "h", Accepted: time.Now()}
+	for i := range items {
+		j.Items = append(j.Items, docket.Item{ID: fmt.Sprint(id, i), Path: "/p", Tokens: 100})
+	}
+	w.docket.Apply(0, docket.EncodeCommand(docket.Command{Action: docket.Submit, Job: j}))
+}
+
+// results returns outcome and output by item.
+func (w *world) results(id string) map[int]docket.Item {
+	m := map[int]docket.Item{}
+	w.docket.Read(id, func(j *docket.Job) {
+		for _, i := range j.Listed {
+			m[i] = j.Items[i]
+		}
+	})
+	return m
+}
+
+func TestItemsRunToTheirEnd(t *testing.T) {
+	play(t, &engine{}, func(w *world) {
+		w.submit("j", 10)
+		time.Sleep(5 * time.Second)
+		l := w.results("j")
+		require.Len(t, l, 10)
+		for _, i := range l {
+			require.Equal(t, docket.Complete, i.Outcome)
+			require.Equal(t, output(), i.Output)
+		}
+		require.Equal(t, slots, w.engine.most)
+	})
+}
+
+// TestItemsGiveWayToAnOnlineBurst fills the upstream with items; an entry VM then reports online requests for it.
+func TestItemsGiveWayToAnOnlineBurst(t *testing.T) {
+	play(t, &engine{}, func(w *world) {
+		w.submit("j", slots)
+		time.Sleep(500 * time.Millisecond)
+		require.Equal(t, slots, w.engine.running)
+		w.hub.Receive("entry", EncodeCounts(map[string]int{"up": slots}))
+		time.Sleep(20 * time.Millisecond)
+		require.Zero(t, w.engine.running)
+		time.Sleep(time.Second)
+		w.hub.Receive("entry", EncodeCounts(nil))
+		time.Sleep(2 * time.Second)
+		for _, i := range w.results("j") {
+			require.Equal(t, output(), i.Output)
+		}
+		require.Len(t, w.results("j"), slots)
+		for _, l := range w.engine.runs {
+			require.Greater(t, l[len(l)-1].Resume, uint64(5), "the run went on from its last event")
+		}
+	})
+}
+
+func TestOutcomes(t *testing.T) {
+	table := []struct {
+		name    string
+		status  func(id string, run int) int
+		breakAt func(id string, run int) int
+		want    docket.Outcome
+		runs    int
+	}{
+		{"breaks off twice", nil, func(_ string, n int) int { return []int{5, 9, 0}[min(n-1, 2)] }, docket.Complete, 3},
+		{"can't be done", func(string, int) int { return 422 }, nil, docket.Errored, 1},
+		{"fails at each run", func(string, int) int { return 500 }, nil, docket.Errored, 3},
+		{"fails once", func(_ string, n int) int { return []int{500, 200}[min(n-1, 1)] }, nil, docket.Complete, 2},
+		{"deadline of the upstream", func(_ string, n int) int { return []int{504, 504, 504, 504, 200}[min(n-1, 4)] }, nil, docket.Complete, 5},
+	}
+	for _, c := range table {
+		t.Run(c.name, func(t *testing.T) {
+			play(t, &engine{status: c.status, breakAt: c.breakAt}, func(w *world) {
+				w.submit("j", 1)
+				time.Sleep(20 * time.Second)
+				l := w.results("j")
+				require.Len(t, l, 1)
+				require.Equal(t, c.want, l[0].Outcome)
+				require.Len(t, w.engine.runs["j0"], c.runs)
+				if c.want == docket.Complete {
+					require.Equal(t, output(), l[0].Output)
+				}
+			})
+		})
+	}
+}
+
+func TestNothingOfAnEndedJobRuns(t *testing.T) {
+	play(t, &engine{}, func(w *world) {
+		w.submit("j", 20)
+		time.Sleep(300 * time.Millisecond)
+		w.docket.Apply(0, docket.EncodeCommand(docket.Command{Action: docket.End, Job: docket.Job{ID: "j", Account: "x"}}))
+		time.Sleep(50 * time.Millisecond)
+		require.Zero(t, w.engine.running)
+		n := len(w.engine.runs)
+		time.Sleep(5 * time.Second)
+		require.Len(t, w.engine.runs, n)
+	})
+}
+
+func TestNothingRunsWithoutLeadership(t *testing.T) {
+	play(t, &engine{}, func(w *world) {
+		w.submit("j", 20)
+		time.Sleep(300 * time.Millisecond)
+		w.leads.Store(false)
+		time.Sleep(300 * time.Millisecond)
+		require.Zero(t, w.engine.running)
+	})
+}
+
+func TestFinishedJobsAreForgotten(t *testing.T) {
+	play(t, &engine{}, func(w *world) {
+		w.submit("j", 1)
+		time.Sleep(50 * time.Second)
+		require.Len(t, w.results("j"), 1)
+		time.Sleep(20 * time.Second)
+		require.False(t, w.docket.Read("j", func(*docket.Job) {}))
+	})
+}
+
+func TestHubTellsEachEntryWhatTheOthersHave(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := NewHub()
+		h.Receive("a", EncodeCounts(map[string]int{"up": 2, "down": 1}))
+		h.Receive("b", EncodeCounts(map[string]int{"up": 3}))
+		due := h.Due(time.Now(), map[string]int{"up": 4})
+		l, err := DecodeLoads(due["a"])
+		require.NoError(t, err)
+		require.Equal(t, map[string]dispatch.Load{"up": {Online: 3, Batch: 4}}, l)
+		l, err = DecodeLoads(due["b"])
+		require.NoError(t, err)
+		require.Equal(t, map[string]dispatch.Load{"up": {Online: 2, Batch: 4}, "down": {Online: 1}}, l)
+		require.Empty(t, h.Due(time.Now(), map[string]int{"up": 4}), "nothing has changed")
+		time.Sleep(entryExpiry + time.Second)
+		require.Empty(t, h.Online(time.Now()), "silent entries hold nothing")
+	})
+}
--- /dev/null
+++ b/internal/transport/jobs/jobs_test.go
@@ -0,0 +1,174 @@
+package jobs
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"snipetack/internal/coordination/consensus"
+	"snipetack/internal/state/docket"
+	"snipetack/internal/state/result"
+	"snipetack/internal/transport/link"
+)
+
+// group is a replicated group with one member.
+type group struct {
+	d      *docket.Docket
+	leads  bool
+	leader string
+	err    error // of proposals
+}
+
+func (g *group) ProposeHere(_ context.Context, _ uint32, c []byte) ([]byte, error) {
+	if g.err != nil {
+		return nil, g.err
+	}
+	if !g.leads {
+		return nil, consensus.NotLeader{Leader: consensus.Member{VM: g.leader}}
+	}
+	return g.d.Apply(0, c), nil
+}
+
+func (g *group) Barrier(context.Context, uint32) error { return nil }
+
+func (g *group) Lease(uint32) (uint64, time.Time, bool) { return 1, time.Time{}, g.leads }
+
+func (g *group) Leader(uint32) (string, uint64) { return g.leader, 1 }
+
+// fleet is some batch VMs.
+type fleet struct {
+	servers map[string]*Server
+	down    map[string]error
+	calls   []string
+}
+
+func (f *fleet) Call(ctx context.Context, vm string, _ link.Kind, b []byte) ([]byte, error) {
+	f.calls = append(f.calls, vm)
+	if err := f.down[vm]; err != nil {
+		return nil, err
+	}
+	return f.servers[vm].Handle(ctx, "", b)
+}
+
+func (f *fleet) BatchLeader() string { return "a" }
+
+func (f *fleet) BatchVMs() []string { return []string{"a", "b"} }
+
+func newFleet() (*fleet, *docket.Docket, map[string]*group) {
+	d := docket.New()
+	g := map[string]*group{"a": {d: d, leader: "b"}, "b": {d: d, leads: true, leader: "b"}}
+	f := &fleet{servers: map[string]*Server{}, down: map[string]error{}}
+	for n, x := range g {
+		f.servers[n] = NewServer(1, x, d)
+	}
+	return f, d, g
+}
+
+func job(id string) docket.Job {
+	return docket.Job{ID: id, Account: "x", Route: "r", Items: []docket.Item{{ID: "i", Tokens: 5, Body: []byte("body")}, {ID: "k", Tokens: 5}}}
+}
+
+func TestCallsFollowTheLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, _, _ := newFleet()
+		c := NewClient(f, f)
+		s, err := c.Submit(context.Background(), job("j"), 10)
+		require.NoError(t, err)
+		require.Equal(t, OK, s)
+		require.Equal(t, []string{"a", "b"}, f.calls)
+		s, err = c.Submit(context.Background(), job("k"), 10)
+		require.NoError(t, err)
+		require.Equal(t, NoRoom, s)
+		require.Equal(t, []string{"a", "b", "b"}, f.calls, "the leader is remembered")
+	})
+}
+
+// TestUnclearChangesAreNotCalledUndone lets calls fail; only where no VM can have kept the change is it unreached.
+func TestUnclearChangesAreNotCalledUndone(t *testing.T) {
+	table := []struct {
+		name string
+		down error
+		err  error // of proposals at the leader
+		want error
+	}{
+		{"lost answers", errors.New("lost"), nil, ErrUnclear},
+		{"refused calls", link.Refused{Reason: "no"}, nil, ErrUnreached},
+		{"no outcome in time", nil, result.New(result.ChangeUncommitted, "no").WithRan(result.Unknown), ErrUnclear},
+		{"not taken", nil, result.New(result.NoQuorum, "no"), ErrUnreached},
+	}
+	for _, c := range table {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f, _, g := newFleet()
+				g["b"].err = c.err
+				f.down["a"], f.down["b"] = c.down, c.down
+				ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+				defer cancel()
+				_, err := NewClient(f, f).Submit(ctx, job("j"), 0)
+				require.Equal(t, c.want, err)
+			})
+		})
+	}
+}
+
+func TestReadsWaitForAResult(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, d, _ := newFleet()
+		c := NewClient(f, f)
+		ctx := context.Background()
+		_, err := c.Submit(ctx, job("j"), 0)
+		require.NoError(t, err)
+		go func() {
+			time.Sleep(300 * time.Millisecond)
+			d.Apply(0, docket.EncodeCommand(docket.Command{Action: docket.List, Job: docket.Job{ID: "j"}, Item: 1, Outcome: docket.Complete, Output: "out"}))
+		}()
+		began := time.Now()
+		p, s, err := c.Read(ctx, "j", "x", 0, time.Second)
+		require.NoError(t, err)
+		require.Equal(t, OK, s)
+		require.Equal(t, Page{Total: 2, Next: 1, Results: []Result{{Item: "k", Complete: true, Output: "out"}}}, p)
+		require.Less(t, time.Since(began), 500*time.Millisecond)
+		p, _, err = c.Read(ctx, "j", "x", 1, 100*time.Millisecond)
+		require.NoError(t, err)
+		require.Equal(t, Page{Total: 2, Next: 1}, p)
+	})
+}
+
+func TestJobsBelongToTheirAccount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, _, _ := newFleet()
+		c := NewClient(f, f)
+		ctx := context.Background()
+		_, err := c.Submit(ctx, job("j"), 0)
+		require.NoError(t, err)
+		_, s, err := c.Read(ctx, "j", "y", 0, 0)
+		require.NoError(t, err)
+		require.Equal(t, Unknown, s)
+		_, s, err = c.Body(ctx, "j", "y", "i")
+		require.NoError(t, err)
+		require.Equal(t, Unknown, s)
+		b, s, err := c.Body(ctx, "j", "x", "i")
+		require.NoError(t, err)
+		require.Equal(t, OK, s)
+		require.Equal(t, "body", string(b))
+		s, err = c.End(ctx, "j", "y")
+		require.NoError(t, err)
+		require.Equal(t, Unknown, s)
+		s, err = c.End(ctx, "j", "x")
+		require.NoError(t, err)
+		require.Equal(t, OK, s)
+	})
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add(encodeCall(call{operation: read, job: "j", wait: time.Second}))
+	f.Add(encodeAnswer(answer{status: OK, page: Page{Total: 1, Results: []Result{{Item: "i"}}}}))
+	f.Fuzz(func(_ *testing.T, b []byte) {
+		_, _ = decodeCall(b)
+		_, _ = decodeAnswer(b)
+	})
+}
