--- a/internal/coordination/replica/formation.go
+++ b/internal/coordination/replica/formation.go
@@ -150,7 +150,9 @@
 		r.change(now, m, f.Without(v.ID), "dead voter removed")
 		return true
 	}
-	if len(f.Voters)%2 == 0 || len(f.Voters)+2 <= g.Voters && r.caughtUp(now, m) >= 2 {
+	leaves := func(v consensus.Member) bool { return slices.Contains(g.Leaving(), v.VM) }
+	pair := len(f.Voters)+2 <= g.Voters && r.caughtUp(now, m) >= 2
+	if len(f.Voters)%2 == 0 || pair || slices.ContainsFunc(f.Voters, leaves) {
 		r.change(now, m, f.WithVoter(l), "learner promoted")
 		return true
 	}
