--- a/internal/transport/batchrun/runner_test.go
+++ b/internal/transport/batchrun/runner_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -57,6 +58,26 @@
 	return a, nil
 }
 
+// load returns how many runs there are now, and how many there were at most.
+func (e *engine) load() (now, most int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.running, e.most
+}
+
+// history returns the runs of each item.
+func (e *engine) history() map[string][]relay.Sending {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return maps.Clone(e.runs)
+}
+
+// runsNow checks how many runs there are.
+func (w *world) runsNow(t *testing.T, n int) {
+	now, _ := w.engine.load()
+	require.Equal(t, n, now)
+}
+
 // events is the body of a run.
 type events struct {
 	ctx  context.Context //nolint:containedctx // ends the run as a connection does
@@ -169,7 +190,8 @@
 			require.Equal(t, docket.Complete, i.Outcome)
 			require.Equal(t, output(), i.Output)
 		}
-		require.Equal(t, slots, w.engine.most)
+		_, most := w.engine.load()
+		require.Equal(t, slots, most)
 	})
 }
 
@@ -178,10 +200,10 @@
 	play(t, &engine{}, func(w *world) {
 		w.submit("j", slots)
 		time.Sleep(500 * time.Millisecond)
-		require.Equal(t, slots, w.engine.running)
+		w.runsNow(t, slots)
 		w.hub.Receive("entry", EncodeCounts(map[string]int{"up": slots}))
 		time.Sleep(20 * time.Millisecond)
-		require.Zero(t, w.engine.running)
+		w.runsNow(t, 0)
 		time.Sleep(time.Second)
 		w.hub.Receive("entry", EncodeCounts(nil))
 		time.Sleep(2 * time.Second)
@@ -189,7 +211,7 @@
 			require.Equal(t, output(), i.Output)
 		}
 		require.Len(t, w.results("j"), slots)
-		for _, l := range w.engine.runs {
+		for _, l := range w.engine.history() {
 			require.Greater(t, l[len(l)-1].Resume, uint64(5), "the run went on from its last event")
 		}
 	})
@@ -217,7 +239,7 @@
 				l := w.results("j")
 				require.Len(t, l, 1)
 				require.Equal(t, c.want, l[0].Outcome)
-				require.Len(t, w.engine.runs["j0"], c.runs)
+				require.Len(t, w.engine.history()["j0"], c.runs)
 				if c.want == docket.Complete {
 					require.Equal(t, output(), l[0].Output)
 				}
@@ -232,10 +254,10 @@
 		time.Sleep(300 * time.Millisecond)
 		w.docket.Apply(0, docket.EncodeCommand(docket.Command{Action: docket.End, Job: docket.Job{ID: "j", Account: "x"}}))
 		time.Sleep(50 * time.Millisecond)
-		require.Zero(t, w.engine.running)
-		n := len(w.engine.runs)
+		w.runsNow(t, 0)
+		n := len(w.engine.history())
 		time.Sleep(5 * time.Second)
-		require.Len(t, w.engine.runs, n)
+		require.Len(t, w.engine.history(), n)
 	})
 }
 
@@ -245,7 +267,7 @@
 		time.Sleep(300 * time.Millisecond)
 		w.leads.Store(false)
 		time.Sleep(300 * time.Millisecond)
-		require.Zero(t, w.engine.running)
+		w.runsNow(t, 0)
 	})
 }
 
