--- a/internal/command/node/batch.go
+++ b/internal/command/node/batch.go
@@ -148,7 +148,7 @@
 
 // tell sends the entry VMs what is in flight, while this VM leads.
 func (b *batch) tell(ctx context.Context) error {
-	for pause.For(ctx, batchrun.TellInterval()) {
+	for pause.For(ctx, b.hub.Interval()) {
 		if !b.leads() {
 			continue
 		}
--- a/internal/coordination/dispatch/dispatch_test.go
+++ b/internal/coordination/dispatch/dispatch_test.go
@@ -163,6 +163,46 @@
 	require.Len(t, w, 1)
 }
 
+// TestFastFailingUpstreamDrawsNoLoad lets one of nine upstreams fail each request at once: it has the fewest requests in
+// flight, and yet gets only a few to show whether it is sound again.
+func TestFastFailingUpstreamDrawsNoLoad(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p, _ := newPool(now, 9)
+	got := 0
+	var running []dispatch.Choice
+	for range 1000 {
+		now = now.Add(10 * time.Millisecond)
+		c, _, ok := p.Take(now, dispatch.Request{Service: "s"})
+		require.True(t, ok)
+		if c.ID == "up-4" {
+			got++
+			p.Faulty(now, c.ID)
+			p.End(now, c)
+			continue
+		}
+		if running = append(running, c); len(running) > 30 {
+			p.End(now, running[0])
+			running = running[1:]
+		}
+	}
+	require.Less(t, got, 20)
+}
+
+// TestManyEntriesSpreadOverALargeFleet lets 50 entries choose from the same figures: no upstream is chosen by most of them.
+func TestManyEntriesSpreadOverALargeFleet(t *testing.T) {
+	now := time.Unix(1000, 0)
+	load := map[string]int{}
+	for range 50 {
+		p, _ := newPool(now, 60)
+		c, _, ok := p.Take(now, dispatch.Request{Service: "s"})
+		require.True(t, ok)
+		load[c.ID]++
+	}
+	for id, n := range load {
+		require.LessOrEqual(t, n, slots, id)
+	}
+}
+
 func TestSessionsStayTogetherWhereLoadsAreEqual(t *testing.T) {
 	now := time.Unix(1000, 0)
 	seen := map[string]bool{}
--- a/internal/coordination/dispatch/pool.go
+++ b/internal/coordination/dispatch/pool.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"math"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -20,6 +22,11 @@
 	affinityBonus = 0.13 // where the session's prompt was read before
 	coldPenalty   = 0.3
 	waitersMax    = 2048
+	failedPenalty = 1.5             // of one failed answer; more than a full upstream costs
+	failedHalf    = 2 * time.Second // the penalty halves in this time
+	failedMost    = 12.0
+	samples       = 4  // upstreams that are compared in a large fleet, so that entries do not all choose the same one
+	smallFleet    = 16 // upstreams that are all compared
 )
 
 // Request is what a choice depends on.
@@ -55,6 +62,8 @@
 	failures int
 	until    time.Time // no request before, after a failure
 	heard    time.Time // when a byte came from it last
+	fault    float64   // penalty for failed answers, at faultAt
+	faultAt  time.Time
 }
 
 // waiter is a request that waits for room.
@@ -218,6 +227,26 @@
 	u.failures++
 }
 
+// Faulty notes that an upstream has answered a request with a failure of its own.
+//
+// One that fails fast has the fewest requests in flight and would draw all others.
+func (p *Pool) Faulty(now time.Time, id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if u := p.byID[id]; u != nil {
+		u.fault = min(failedMost, u.penalty(now)+failedPenalty)
+		u.faultAt = now
+	}
+}
+
+// penalty returns what is left of the penalty for failed answers.
+func (u *upstream) penalty(now time.Time) float64 {
+	if u.fault == 0 {
+		return 0
+	}
+	return u.fault * math.Exp2(-now.Sub(u.faultAt).Seconds()/failedHalf.Seconds())
+}
+
 // Gone notes that an upstream's address belongs to another one now.
 func (p *Pool) Gone(now time.Time, id string) {
 	p.mu.Lock()
@@ -276,19 +305,36 @@
 
 // pick returns the upstream with room that serves a request best, or nil.
 func (p *Pool) pick(now time.Time, r Request) *upstream {
+	l := p.services[r.Service]
+	most := len(l)
+	if most > smallFleet && r.Prefer == "" {
+		l = shuffled(l)
+		most = samples
+	}
 	var best *upstream
 	score := 0.0
-	for _, u := range p.services[r.Service] {
+	for _, u := range l {
 		if !p.hasRoom(now, u, r) {
 			continue
 		}
 		if s := p.score(now, u, r); best == nil || s < score {
 			best, score = u, s
 		}
+		if most--; most == 0 {
+			break
+		}
 	}
 	return best
 }
 
+func shuffled(l []*upstream) []*upstream {
+	s := make([]*upstream, len(l))
+	for i, j := range rand.Perm(len(l)) {
+		s[i] = l[j]
+	}
+	return s
+}
+
 func (p *Pool) hasRoom(now time.Time, u *upstream, r Request) bool {
 	if u.Draining || now.Before(u.until) {
 		return false
@@ -319,6 +365,7 @@
 	if u.Cold > 0 {
 		s += coldPenalty
 	}
+	s += u.penalty(now)
 	if r.Session != "" {
 		s -= affinityBonus * weight(r.Session, u.ID)
 	}
--- a/internal/coordination/filler/filler.go
+++ b/internal/coordination/filler/filler.go
@@ -37,6 +37,7 @@
 type Want struct {
 	Task
 	Service string
+	Avoid   []string // upstreams at which it failed; another one is better
 }
 
 // Start sends an item to an upstream.
@@ -85,7 +86,7 @@
 	slices.SortStableFunc(waiting, func(a, b Want) int { return before(now, a.Task, b.Task) })
 	unplaced := map[string]int{}
 	for _, w := range waiting {
-		id := freest(services[w.Service], free)
+		id := freest(services[w.Service], free, w.Avoid)
 		switch {
 		case id != "" && free[id] > 0:
 			free[id]--
@@ -122,12 +123,13 @@
 	return k
 }
 
-// freest returns the upstream with the most free places.
-func freest(l []Room, free map[string]int) string {
-	best := ""
+// freest returns the upstream with the most free places; one to avoid is chosen only when no other is known.
+func freest(l []Room, free map[string]int, avoid []string) string {
+	best, good := "", false
 	for _, r := range l {
-		if best == "" || free[r.ID] > free[best] {
-			best = r.ID
+		g := !slices.Contains(avoid, r.ID)
+		if best == "" || g && !good || g == good && free[r.ID] > free[best] {
+			best, good = r.ID, g
 		}
 	}
 	return best
--- a/internal/coordination/filler/filler_test.go
+++ b/internal/coordination/filler/filler_test.go
@@ -81,6 +81,18 @@
 			waiting: []filler.Want{want(2, 2*s, 5*s)},
 			starts:  []string{"2 at a"},
 		},
+		{
+			name:    "an item that failed at an upstream runs at another one",
+			rooms:   []filler.Room{{ID: "a", Service: "s", Slots: 8}, {ID: "b", Service: "s", Slots: 2}},
+			waiting: []filler.Want{{Task: task(1, 9*s, s), Service: "s", Avoid: []string{"a"}}},
+			starts:  []string{"1 at b"},
+		},
+		{
+			name:    "it runs there again when there is no other",
+			rooms:   []filler.Room{{ID: "a", Service: "s", Slots: 8}},
+			waiting: []filler.Want{{Task: task(1, 9*s, s), Service: "s", Avoid: []string{"a"}}},
+			starts:  []string{"1 at a"},
+		},
 		{
 			name:    "another service's upstreams are left alone",
 			rooms:   []filler.Room{{ID: "a", Service: "t", Slots: 1}},
--- a/internal/transport/batchrun/hub.go
+++ b/internal/transport/batchrun/hub.go
@@ -11,7 +11,8 @@
 
 // Timing of a Hub.
 const (
-	tellInterval = 80 * time.Millisecond  // between messages to entry VMs when figures change
+	tellInterval = 25 * time.Millisecond  // between messages to entry VMs when figures change
+	manyEntries  = 14                     // entries from which on the interval grows with their number
 	tellAnyway   = 400 * time.Millisecond // when they do not
 	entryExpiry  = 3 * time.Second        // an entry VM that does not report holds no places
 )
@@ -71,6 +72,13 @@
 	return m
 }
 
+// Interval returns the time between messages: longer in large fleets, whose messages are many and long.
+func (h *Hub) Interval() time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return tellInterval * time.Duration(max(manyEntries, len(h.entries))) / manyEntries
+}
+
 // Due returns the messages that entry VMs are to be sent now.
 func (h *Hub) Due(now time.Time, batch map[string]int) map[string][]byte {
 	online := h.Online(now)
@@ -157,6 +165,3 @@
 	}
 	return m, d.Err()
 }
-
-// TellInterval returns how often Due is asked.
-func TellInterval() time.Duration { return tellInterval }
--- a/internal/transport/batchrun/runner.go
+++ b/internal/transport/batchrun/runner.go
@@ -24,6 +24,8 @@
 	failedPause  = time.Second            // an upstream that broke off or fell silent gets no item
 	failureBase  = 300 * time.Millisecond // an item whose run failed waits, twice as long each time
 	failureMax   = 5 * time.Second
+	streakBase   = 250 * time.Millisecond // an upstream that fails run after run gets no item, twice as long each time
+	streakMost   = 8 * time.Second
 	routeGrace   = 10 * time.Second // a route may be newer than the configuration here
 	gapLimit     = 2 * time.Second  // a run without events is ended
 )
@@ -50,6 +52,8 @@
 	runs    map[filler.Key]*run
 	partial map[filler.Key]*partial
 	pause   map[filler.Key]time.Time // no run of an item before
+	streaks map[string]int           // failed runs in a row, by upstream
+	avoid   map[filler.Key][]string  // upstreams at which an item has failed
 	closed  map[string]time.Time     // no item to an upstream before
 	ending  map[filler.Key]bool      // the result is being committed
 	pace    filler.Pace
@@ -121,6 +125,8 @@
 	r.runs = map[filler.Key]*run{}
 	r.partial = map[filler.Key]*partial{}
 	r.pause = map[filler.Key]time.Time{}
+	r.streaks = map[string]int{}
+	r.avoid = map[filler.Key][]string{}
 	r.closed = map[string]time.Time{}
 	r.ending = map[filler.Key]bool{}
 }
@@ -174,6 +180,7 @@
 			if j.Items[i].Outcome != docket.Open {
 				delete(r.ending, k)
 				delete(r.partial, k)
+				delete(r.avoid, k)
 				continue
 			}
 			if w, ok := r.want(ctx, now, p, j, k); ok {
@@ -202,7 +209,7 @@
 		ran = t.ran
 	}
 	t := filler.Task{Key: k, Due: j.Accepted.Add(u.Due), Left: r.pace.Left(j.Items[k.Item].Tokens, ran)}
-	return filler.Want{Task: t, Service: relay.Choose(u.Targets)}, true
+	return filler.Want{Task: t, Service: relay.Choose(u.Targets), Avoid: r.avoid[k]}, true
 }
 
 // stopEnded ends the runs of jobs that are ended.
@@ -296,6 +303,7 @@
 	r.d.Log.Debug("item run ended", "job", x.Key.Job, "item", x.Key.Item, "upstream", x.Upstream, "outcome", int(o))
 	switch o {
 	case complete:
+		delete(r.streaks, x.Upstream)
 		r.pace.Learn(x.tokens, x.partial.ran)
 		r.list(ctx, x.Key, docket.Complete, strings.Join(x.partial.data, "\n"))
 	case hopeless:
@@ -313,6 +321,11 @@
 
 // failed counts a failed run and gives the item up when it has had its attempts.
 func (r *Runner) failed(ctx context.Context, now time.Time, x *run, attempts int) {
+	r.avoid[x.Key] = append(r.avoid[x.Key], x.Upstream)
+	r.streaks[x.Upstream]++
+	if s := r.streaks[x.Upstream]; s > 1 { // one failure may be the item's own fault
+		r.closed[x.Upstream] = now.Add(min(streakMost, streakBase<<min(s, 8)))
+	}
 	n := 0
 	r.d.Docket.Read(x.Key.Job, func(j *docket.Job) { n = j.Items[x.Key.Item].Failures })
 	delete(r.partial, x.Key)
--- a/internal/transport/relay/exchange.go
+++ b/internal/transport/relay/exchange.go
@@ -169,9 +169,22 @@
 		x.reason = "the upstream did not run it"
 		return again
 	}
+	x.ran(c.ID)
+	if a.Status >= http.StatusInternalServerError {
+		x.r.d.Pool.Faulty(time.Now(), c.ID)
+		if x.repeatable() && !x.begun && !x.spent() && a.Status != http.StatusGatewayTimeout {
+			x.exclude = append(x.exclude, c.ID)
+			x.reason = "the upstream failed"
+			return broken
+		}
+	}
+	if x.begun && a.Status != http.StatusOK {
+		x.exclude, x.prefer = append(x.exclude, c.ID), ""
+		x.reason = "the stream could not be resumed"
+		return broken // nothing but its next events may follow in a stream
+	}
 	x.r.d.Patience.Learn(x.a.Service, time.Since(began))
 	x.r.d.Traffic.FirstByte(x.a.Route.Kind.String(), time.Since(x.a.Arrived))
-	x.ran(c.ID)
 	if x.a.Route.Kind == plan.Stream && a.Status == http.StatusOK {
 		return x.stream(ctx, cancel, c, a)
 	}
