node: Send fewer bytes between data centres

Change: shares are exchanged once a second, hints follow the order of the list of upstreams, and no learner is kept beside the voters (an empty VM that says hello learns once a voter is dead).

--- a/internal/command/node/batch.go
+++ b/internal/command/node/batch.go
@@ -152,8 +152,9 @@
 		if !b.leads() {
 			continue
 		}
-		for vm, f := range b.hub.Due(time.Now(), b.runner.InFlight()) {
-			b.n.link.Send(vm, link.Hint, f)
+		ids, tag := b.n.member.order()
+		for vm, l := range b.hub.Due(time.Now(), b.runner.InFlight()) {
+			b.n.link.Send(vm, link.Hint, batchrun.EncodeHint(tag, ids, l))
 		}
 	}
 	return nil
--- a/internal/command/node/entry.go
+++ b/internal/command/node/entry.go
@@ -98,12 +98,10 @@
 
 // hint takes what is in flight from other VMs.
 func (e *entry) hint(_ string, b []byte) {
-	l, err := batchrun.DecodeLoads(b)
-	if err != nil {
-		e.n.Log.Error("loads not understood", "error", err)
-		return
+	ids, tag := e.n.member.order()
+	if l, ok := batchrun.DecodeHint(b, tag, ids); ok { // else one side has a newer list, for a moment
+		e.pool.SetLoads(time.Now(), l)
 	}
-	e.pool.SetLoads(time.Now(), l)
 }
 
 // tellLoads tells the batch VM that leads what is in flight from here; at once when a batch item has to give way.
--- a/internal/command/node/member.go
+++ b/internal/command/node/member.go
@@ -24,6 +24,7 @@
 	syncRetry    = 40 * time.Millisecond
 	reloadEvery  = 2 * time.Second // while no control VM answers
 	leaderShun   = time.Second     // after a failed call
+	shareEvery   = time.Second     // shares are for when the owner of the limits can't be asked
 )
 
 // member keeps a VM in touch with the control VMs.
@@ -35,6 +36,7 @@
 	buckets     *share.Buckets       // at entry VMs
 	report      func(*roster.Report) // adds what the VM's class has to say; may be nil
 	onList      func([]roster.Upstream)
+	shared      time.Time // when shares were reported last; the reporting goroutine's own
 
 	mu           sync.RWMutex
 	plan         *plan.Plan
@@ -88,6 +90,16 @@
 	return m.upstreams, m.listRead
 }
 
+// order returns the ids of the list of upstreams in their order, and what identifies the list.
+func (m *member) order() (ids []string, tag uint64) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	for _, u := range m.upstreams {
+		ids = append(ids, u.ID)
+	}
+	return ids, m.listTag
+}
+
 // BatchLeader returns the address of the batch VM that leads, or "".
 func (m *member) BatchLeader() string {
 	m.mu.RLock()
@@ -246,8 +258,10 @@
 		r.Version = m.plan.Version
 	}
 	m.mu.RUnlock()
-	if m.buckets != nil {
-		r.Shares, r.Demand = m.buckets.Shares(), m.buckets.Demand(time.Now())
+	if now := time.Now(); m.buckets != nil && now.Sub(m.shared) >= shareEvery {
+		m.shared = now
+		r.Limits = true
+		r.Shares, r.Demand = m.buckets.Shares(), m.buckets.Demand(now)
 	}
 	if m.report != nil {
 		m.report(&r)
@@ -295,7 +309,7 @@
 	if fresh && m.onList != nil {
 		m.onList(b.Upstreams)
 	}
-	if m.buckets != nil && b.Leads && p != nil {
+	if m.buckets != nil && len(b.Shares) > 0 && p != nil {
 		m.buckets.Adopt(now, b.Shares, limitsOf(p), entries)
 	}
 }
--- a/internal/coordination/replica/formation.go
+++ b/internal/coordination/replica/formation.go
@@ -177,7 +177,7 @@
 		return false
 	}
 	f := m.core.Configuration()
-	spare := 1 // a learner that replaces the next voter lost, or votes with another one
+	spare := 0
 	for _, v := range f.Voters {
 		if slices.Contains(g.Leaving(), v.VM) {
 			spare++
--- a/internal/coordination/roster/roster.go
+++ b/internal/coordination/roster/roster.go
@@ -112,7 +112,7 @@
 	if now.Sub(r.leaderAt) < leaderTimeout {
 		b.BatchLeader, b.BatchMembers = r.leader, r.members
 	}
-	if p.VM.Class == Entry {
+	if p.Limits {
 		b.Shares = r.shares.Report(now, p.VM.Address, p.Incarnation, p.Shares, p.Demand, accounts)
 	}
 	return b
--- a/internal/coordination/roster/types.go
+++ b/internal/coordination/roster/types.go
@@ -43,6 +43,7 @@
 	DirectoryTag, ListTag uint64
 	Shares                map[string]float64 // of accounts, in force
 	Demand                map[string]float64 // requests a second of accounts
+	Limits                bool               // Shares and Demand are told, and new shares wanted
 	Leads                 bool               // leads the batch group
 	Members               []string           // addresses in the batch group, when it leads
 }
@@ -77,6 +78,7 @@
 	encodeFigures(e, 7, r.Demand)
 	e.Bool(8, r.Leads)
 	e.Texts(9, r.Members)
+	e.Bool(10, r.Limits)
 	return e.Encoded()
 }
 
@@ -104,6 +106,8 @@
 			r.Leads = d.Bool()
 		case 9:
 			r.Members = append(r.Members, d.Text())
+		case 10:
+			r.Limits = d.Bool()
 		}
 	}
 	return r, d.Err()
--- a/internal/transport/batchrun/hub.go
+++ b/internal/transport/batchrun/hub.go
@@ -1,6 +1,7 @@
 package batchrun
 
 import (
+	"encoding/binary"
 	"maps"
 	"sync"
 	"time"
@@ -79,12 +80,12 @@
 	return tellInterval * time.Duration(max(manyEntries, len(h.entries))) / manyEntries
 }
 
-// Due returns the messages that entry VMs are to be sent now.
-func (h *Hub) Due(now time.Time, batch map[string]int) map[string][]byte {
+// Due returns the loads that entry VMs are to be told now, those of the others.
+func (h *Hub) Due(now time.Time, batch map[string]int) map[string]map[string]dispatch.Load {
 	online := h.Online(now)
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	out := map[string][]byte{}
+	out := map[string]map[string]dispatch.Load{}
 	for vm, r := range h.entries {
 		l := map[string]dispatch.Load{}
 		for id, n := range online {
@@ -102,66 +103,77 @@
 			continue
 		}
 		h.told[vm] = told{loads: l, at: now}
-		out[vm] = EncodeLoads(l)
+		out[vm] = l
 	}
 	return out
 }
 
-// EncodeCounts returns the wire form of requests in flight by upstream.
-func EncodeCounts(m map[string]int) []byte {
-	l := map[string]dispatch.Load{}
-	for id, n := range m {
-		l[id] = dispatch.Load{Online: n}
+// EncodeHint returns the wire form of loads, in the order of a list of upstreams that both sides have.
+func EncodeHint(listTag uint64, ids []string, m map[string]dispatch.Load) []byte {
+	b := binary.BigEndian.AppendUint64(nil, listTag)
+	for _, id := range ids {
+		b = binary.AppendUvarint(b, uint64(max(0, m[id].Online)))
+		b = binary.AppendUvarint(b, uint64(max(0, m[id].Batch)))
 	}
-	return EncodeLoads(l)
+	return b
 }
 
-// DecodeCounts reads the wire form of requests in flight by upstream.
-func DecodeCounts(b []byte) (map[string]int, error) {
-	l, err := DecodeLoads(b)
-	m := map[string]int{}
-	for id, x := range l {
-		m[id] = x.Online
+// DecodeHint reads the wire form of loads; it is false when the sender has another list.
+func DecodeHint(b []byte, listTag uint64, ids []string) (map[string]dispatch.Load, bool) {
+	if len(b) < 8 || binary.BigEndian.Uint64(b) != listTag {
+		return nil, false
+	}
+	b = b[8:]
+	m := map[string]dispatch.Load{}
+	for _, id := range ids {
+		online, n := binary.Uvarint(b)
+		if n <= 0 {
+			return nil, false
+		}
+		batch, k := binary.Uvarint(b[n:])
+		if k <= 0 {
+			return nil, false
+		}
+		b = b[n+k:]
+		if online+batch > 0 {
+			m[id] = dispatch.Load{Online: int(online), Batch: int(batch)}
+		}
 	}
-	return m, err
+	return m, true
 }
 
-// EncodeLoads returns the wire form of loads by upstream.
-func EncodeLoads(m map[string]dispatch.Load) []byte {
+// EncodeCounts returns the wire form of requests in flight by upstream.
+func EncodeCounts(m map[string]int) []byte {
 	e := wire.NewEncoder()
-	for id, x := range m {
+	for id, n := range m {
 		e.Record(1, func(e *wire.Encoder) {
 			e.Text(1, id)
-			e.Uint(2, uint64(x.Online))
-			e.Uint(3, uint64(x.Batch))
+			e.Uint(2, uint64(max(0, n)))
 		})
 	}
 	return e.Encoded()
 }
 
-// DecodeLoads reads the wire form of loads by upstream.
-func DecodeLoads(b []byte) (map[string]dispatch.Load, error) {
-	m := map[string]dispatch.Load{}
+// DecodeCounts reads the wire form of requests in flight by upstream.
+func DecodeCounts(b []byte) (map[string]int, error) {
+	m := map[string]int{}
 	d := wire.NewDecoder(b)
 	for f, ok := d.Next(); ok; f, ok = d.Next() {
 		if f != 1 {
 			continue
 		}
-		id := ""
-		var x dispatch.Load
+		id, n := "", 0
 		r := d.Record()
 		for g, ok := r.Next(); ok; g, ok = r.Next() {
 			switch g {
 			case 1:
 				id = r.Text()
 			case 2:
-				x.Online = int(r.Uint())
-			case 3:
-				x.Batch = int(r.Uint())
+				n = int(r.Uint())
 			}
 		}
 		d.Fail(r.Err())
-		m[id] = x
+		m[id] = n
 	}
 	return m, d.Err()
 }
--- a/internal/transport/batchrun/runner_test.go
+++ b/internal/transport/batchrun/runner_test.go
@@ -287,14 +287,23 @@
 		h.Receive("a", EncodeCounts(map[string]int{"up": 2, "down": 1}))
 		h.Receive("b", EncodeCounts(map[string]int{"up": 3}))
 		due := h.Due(time.Now(), map[string]int{"up": 4})
-		l, err := DecodeLoads(due["a"])
-		require.NoError(t, err)
-		require.Equal(t, map[string]dispatch.Load{"up": {Online: 3, Batch: 4}}, l)
-		l, err = DecodeLoads(due["b"])
-		require.NoError(t, err)
-		require.Equal(t, map[string]dispatch.Load{"up": {Online: 2, Batch: 4}, "down": {Online: 1}}, l)
+		require.Equal(t, map[string]dispatch.Load{"up": {Online: 3, Batch: 4}}, due["a"])
+		require.Equal(t, map[string]dispatch.Load{"up": {Online: 2, Batch: 4}, "down": {Online: 1}}, due["b"])
 		require.Empty(t, h.Due(time.Now(), map[string]int{"up": 4}), "nothing has changed")
 		time.Sleep(entryExpiry + time.Second)
 		require.Empty(t, h.Online(time.Now()), "silent entries hold nothing")
 	})
 }
+
+func TestHintsNeedTheSameList(t *testing.T) {
+	ids := []string{"a", "b", "c"}
+	m := map[string]dispatch.Load{"a": {Online: 300, Batch: 1}, "c": {Batch: 2}}
+	b := EncodeHint(7, ids, m)
+	l, ok := DecodeHint(b, 7, ids)
+	require.True(t, ok)
+	require.Equal(t, m, l)
+	_, ok = DecodeHint(b, 8, ids)
+	require.False(t, ok)
+	_, ok = DecodeHint(b[:len(b)-1], 7, ids)
+	require.False(t, ok)
+}
