--- a/internal/command/node/node.go
+++ b/internal/command/node/node.go
@@ -82,6 +82,15 @@
 	}
 }
 
+// bindAddress returns where the links of other VMs come in.
+func bindAddress(s Settings) string {
+	ip := s.BindIP
+	if ip == "" {
+		ip = s.IP
+	}
+	return net.JoinHostPort(ip, strconv.Itoa(linkPort(s, roster.Class(s.Class))))
+}
+
 // New returns a Node.
 func New(d Deps) *Node {
 	s := d.Settings
@@ -120,7 +129,7 @@
 	if err := n.member.measure(); err != nil {
 		return err
 	}
-	l, err := n.Network.Listen(n.link.Self())
+	l, err := n.Network.Listen(bindAddress(s))
 	if err != nil {
 		return err
 	}
--- a/internal/command/node/settings.go
+++ b/internal/command/node/settings.go
@@ -17,6 +17,7 @@
 	Class      string // a roster.Class
 	Zone       string
 	IP         string
+	BindIP     string   // to listen on for other VMs, where it differs from IP
 	FirstPort  int      // for links between VMs
 	Seeds      []string // control VMs, at the ports that operators call
 	Bootstrap  bool     // the whole fleet starts for the first time
@@ -68,6 +69,7 @@
 		"class":      d.OneOf(&s.Class, string(roster.Entry), string(roster.Control), string(roster.Batch)),
 		"zone":       d.Text(&s.Zone),
 		"ip":         d.Text(&s.IP),
+		"bind_ip":    optional(d.Text(&s.BindIP)),
 		"first_port": d.Whole(&s.FirstPort),
 		"seeds":      d.Texts(&s.Seeds),
 		"bootstrap":  d.Bool(&s.Bootstrap),
