jobs: Read results from a batch VM in the same data centre

Change: an entry asks a batch VM of its own data centre first; results never change, and only the leader says that there are none. Tests: TestResultsComeFromTheNearVM, TestOnlyTheLeaderSaysThatThereIsNothing.

--- a/internal/command/node/member.go
+++ b/internal/command/node/member.go
@@ -110,6 +110,18 @@
 // BatchVMs returns the addresses of all batch VMs.
 func (m *member) BatchVMs() []string { return m.addresses(roster.Batch) }
 
+// NearBatchVM returns the address of a batch VM in this data centre, or "".
+func (m *member) NearBatchVM() string {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	for _, v := range m.vms {
+		if v.Class == roster.Batch && v.Zone == m.vm.Zone && slices.Contains(m.batchMembers, v.Address) {
+			return v.Address
+		}
+	}
+	return ""
+}
+
 func (m *member) addresses(c roster.Class) []string {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
--- a/internal/transport/jobs/call.go
+++ b/internal/transport/jobs/call.go
@@ -19,7 +19,7 @@
 	end    operation = 4
 )
 
-// call is a request to the batch VM that leads.
+// call is a request to a batch VM, the one that leads unless copied is set.
 type call struct {
 	operation operation
 	command   []byte // a docket.Command, for submit and end
@@ -28,6 +28,7 @@
 	after     int
 	wait      time.Duration
 	item      string
+	copied    bool // results of a VM that does not lead will do, for read
 }
 
 // Status is the outcome of a call; numbers are never reused.
@@ -74,6 +75,7 @@
 	e.Uint(5, uint64(max(0, c.after)))
 	e.Duration(6, c.wait)
 	e.Text(7, c.item)
+	e.Bool(8, c.copied)
 	return e.Encoded()
 }
 
@@ -96,6 +98,8 @@
 			c.wait = d.Duration()
 		case 7:
 			c.item = d.Text()
+		case 8:
+			c.copied = d.Bool()
 		}
 	}
 	return c, errors.Wrap(d.Err(), "decoding a call on batch jobs")
--- a/internal/transport/jobs/client.go
+++ b/internal/transport/jobs/client.go
@@ -16,6 +16,8 @@
 const (
 	attemptTimeout = 900 * time.Millisecond // without the wait that a call asks for
 	retryDelay     = 60 * time.Millisecond
+	nearTimeout    = 150 * time.Millisecond // many round trips within a data centre, without the wait
+	nearShun       = 2 * time.Second        // after the near VM gave no answer
 )
 
 // ErrUnreached reports a call that no batch VM has carried out.
@@ -35,6 +37,8 @@
 	BatchLeader() string
 	// BatchVMs returns the addresses of all batch VMs.
 	BatchVMs() []string
+	// NearBatchVM returns the address of a batch VM in this data centre, or "".
+	NearBatchVM() string
 }
 
 // Client reaches the batch VM that leads.
@@ -42,6 +46,7 @@
 	calls CallProvider
 	vms   LeaderProvider
 	hint  atomic.Pointer[string]
+	shun  atomic.Pointer[time.Time] // the near VM is not asked before
 }
 
 // NewClient returns a Client.
@@ -56,11 +61,39 @@
 }
 
 // Read returns results from a position on; it waits for the first one when there is none yet.
+//
+// Results never change, so those that a near VM has need not come from another data centre; only the VM that leads
+// knows that there are none.
 func (c *Client) Read(ctx context.Context, job, account string, after int, wait time.Duration) (Page, Status, error) {
-	a, err := c.do(ctx, call{operation: read, job: job, account: account, after: after, wait: wait})
+	began := time.Now()
+	q := call{operation: read, job: job, account: account, after: after, wait: wait}
+	if p, ok := c.readNear(ctx, q); ok {
+		return p, OK, nil
+	}
+	q.wait = max(0, wait-time.Since(began))
+	a, err := c.do(ctx, q)
 	return a.page, a.status, err
 }
 
+// readNear returns the results that a batch VM in this data centre has.
+func (c *Client) readNear(ctx context.Context, q call) (Page, bool) {
+	vm := c.vms.NearBatchVM()
+	if vm == "" || vm == c.vms.BatchLeader() {
+		return Page{}, false
+	}
+	if t := c.shun.Load(); t != nil && time.Now().Before(*t) {
+		return Page{}, false
+	}
+	q.copied = true
+	a, err := c.try(ctx, vm, encodeCall(q), nearTimeout+q.wait)
+	if err != nil {
+		t := time.Now().Add(nearShun)
+		c.shun.Store(&t)
+		return Page{}, false
+	}
+	return a.page, a.status == OK
+}
+
 // Body returns the body of an item that has no result yet.
 func (c *Client) Body(ctx context.Context, job, account, item string) ([]byte, Status, error) {
 	a, err := c.do(ctx, call{operation: body, job: job, account: account, item: item})
@@ -84,7 +117,7 @@
 			pause.For(ctx, retryDelay)
 			continue
 		}
-		a, err := c.try(ctx, vm, b, q.wait)
+		a, err := c.try(ctx, vm, b, attemptTimeout+q.wait)
 		switch {
 		case err != nil:
 			c.hint.Store(nil)
@@ -130,8 +163,8 @@
 	return l[n%len(l)]
 }
 
-func (c *Client) try(ctx context.Context, vm string, b []byte, wait time.Duration) (answer, error) {
-	ctx, cancel := context.WithTimeout(ctx, attemptTimeout+wait)
+func (c *Client) try(ctx context.Context, vm string, b []byte, limit time.Duration) (answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	x, err := c.calls.Call(ctx, vm, link.Job, b)
 	if err != nil {
--- a/internal/transport/jobs/jobs_test.go
+++ b/internal/transport/jobs/jobs_test.go
@@ -45,6 +45,7 @@
 	servers map[string]*Server
 	down    map[string]error
 	calls   []string
+	near    string
 }
 
 func (f *fleet) Call(ctx context.Context, vm string, _ link.Kind, b []byte) ([]byte, error) {
@@ -57,6 +58,8 @@
 
 func (f *fleet) BatchLeader() string { return "a" }
 
+func (f *fleet) NearBatchVM() string { return f.near }
+
 func (f *fleet) BatchVMs() []string { return []string{"a", "b"} }
 
 func newFleet() (*fleet, *docket.Docket, map[string]*group) {
@@ -173,3 +176,59 @@
 		_, _ = decodeAnswer(b)
 	})
 }
+
+// list gives an item its result.
+func list(d *docket.Docket, item int) {
+	d.Apply(0, docket.EncodeCommand(docket.Command{Action: docket.List, Job: docket.Job{ID: "j"}, Item: item,
+		Outcome: docket.Complete, Output: "text"}))
+}
+
+// nearFleet has a VM "c" in the caller's data centre with a copy of its own; "b" leads.
+func nearFleet() (f *fleet, leader, copied *docket.Docket) {
+	f, leader, _ = newFleet()
+	copied = docket.New()
+	f.servers["c"] = NewServer(1, &group{d: copied, leader: "b"}, copied, slog.New(slog.DiscardHandler))
+	f.near = "c"
+	for _, d := range []*docket.Docket{leader, copied} {
+		d.Apply(0, commandOf(job("j"), docket.Submit, 0))
+	}
+	return f, leader, copied
+}
+
+func TestResultsComeFromTheNearVM(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, leader, copied := nearFleet()
+		list(leader, 0)
+		list(copied, 0)
+		p, s, err := NewClient(f, f).Read(context.Background(), "j", "x", 0, time.Second)
+		require.NoError(t, err)
+		require.Equal(t, OK, s)
+		require.Equal(t, Page{Total: 2, Next: 1, Results: []Result{{Item: "i", Complete: true, Output: "text"}}}, p)
+		require.Equal(t, []string{"c"}, f.calls)
+		_, s, err = NewClient(f, f).Read(context.Background(), "j", "someone else", 0, 0)
+		require.NoError(t, err)
+		require.Equal(t, Unknown, s)
+	})
+}
+
+// TestOnlyTheLeaderSaysThatThereIsNothing reads from a near VM whose copy lags, and from one that does not answer.
+func TestOnlyTheLeaderSaysThatThereIsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, leader, _ := nearFleet()
+		list(leader, 0)
+		c := NewClient(f, f)
+		began := time.Now()
+		p, s, err := c.Read(context.Background(), "j", "x", 0, time.Second)
+		require.NoError(t, err)
+		require.Equal(t, OK, s)
+		require.Len(t, p.Results, 1)
+		require.Equal(t, time.Second+retryDelay, time.Since(began), "the copy is waited for once")
+		f.down["c"], f.calls = errors.New("silent"), nil
+		for range 3 {
+			p, _, err = c.Read(context.Background(), "j", "x", 0, time.Second)
+			require.NoError(t, err)
+			require.Len(t, p.Results, 1)
+		}
+		require.Equal(t, []string{"c", "b", "b", "b"}, f.calls, "a VM that gave no answer is left alone")
+	})
+}
--- a/internal/transport/jobs/server.go
+++ b/internal/transport/jobs/server.go
@@ -46,6 +46,9 @@
 	case submit, end:
 		return encodeAnswer(s.change(ctx, c)), nil
 	case read:
+		if c.copied {
+			return encodeAnswer(s.readCopy(ctx, c)), nil
+		}
 		return encodeAnswer(s.read(ctx, c)), nil
 	case body:
 		return encodeAnswer(s.body(ctx, c)), nil
@@ -126,6 +129,32 @@
 	}
 }
 
+// readCopy answers with the results that this VM has, whether it leads or not, and waits for the first one as long
+// as a leader may send it.
+func (s *Server) readCopy(ctx context.Context, c call) answer {
+	until := time.NewTimer(c.wait)
+	defer until.Stop()
+	for {
+		changed := s.d.Changed()
+		a := s.page(c)
+		if len(a.page.Results) > 0 {
+			return a
+		}
+		l, _ := s.g.Leader(s.group)
+		moved := answer{status: Moved, leader: l}
+		if a.status != OK || a.page.Total == c.after || c.wait <= 0 || l == "" {
+			return moved
+		}
+		select {
+		case <-changed:
+		case <-until.C:
+			return moved
+		case <-ctx.Done():
+			return moved
+		}
+	}
+}
+
 func (s *Server) page(c call) answer {
 	a := answer{status: Unknown}
 	s.d.Read(c.job, func(j *docket.Job) {
