batchrun, filler: Look at all items for a fifteenth of the cost

A profile of one look at 1,500 waiting items and 71 upstreams took 7.6 ms, 70% of it finding the freest upstream for items that had none; the leading batch VM (0.48 cores) looks up to 100 times a second and had no time left to read events. Change: free places of a service are added up, so that nothing is searched when there are none; what is known of an item is one record in place of five maps; its route is looked up once in a configuration; the sum of online requests is kept instead of added up from 45 reports at each look.

--- a/internal/coordination/filler/filler.go
+++ b/internal/coordination/filler/filler.go
@@ -71,25 +71,30 @@
 	for _, r := range running {
 		used[r.Upstream] = append(used[r.Upstream], r)
 	}
-	free := map[string]int{}
-	services := map[string][]Room{}
+	services := map[string]*places{}
 	for _, r := range rooms {
 		n := r.Slots - r.Online - len(used[r.ID])
 		if n < 0 {
 			stops = append(stops, last(now, used[r.ID], -n)...)
 		}
-		if !r.Closed {
-			free[r.ID] = n
-			services[r.Service] = append(services[r.Service], r)
+		if r.Closed {
+			continue
 		}
+		s := services[r.Service]
+		if s == nil {
+			s = &places{}
+			services[r.Service] = s
+		}
+		s.add(r.ID, n)
 	}
-	slices.SortStableFunc(waiting, func(a, b Want) int { return before(now, a.Task, b.Task) })
 	unplaced := map[string]int{}
-	for _, w := range waiting {
-		id := freest(services[w.Service], free, w.Avoid)
+	for _, w := range ordered(now, waiting) {
+		id := ""
+		if s := services[w.Service]; s != nil {
+			id = s.take(w.Avoid)
+		}
 		switch {
-		case id != "" && free[id] > 0:
-			free[id]--
+		case id != "":
 			starts = append(starts, Start{Key: w.Key, Upstream: id})
 		case !w.late(now):
 			unplaced[w.Service]++
@@ -123,14 +128,50 @@
 	return k
 }
 
-// freest returns the upstream with the most free places; one to avoid is chosen only when no other is known.
-func freest(l []Room, free map[string]int, avoid []string) string {
-	best, good := "", false
-	for _, r := range l {
-		g := !slices.Contains(avoid, r.ID)
-		if best == "" || g && !good || g == good && free[r.ID] > free[best] {
-			best, good = r.ID, g
+// ordered returns the items that can be on time by their due times, then the others by theirs.
+func ordered(now time.Time, l []Want) []*Want {
+	timely, late := make([]*Want, 0, len(l)), make([]*Want, 0, len(l))
+	for i := range l {
+		if l[i].late(now) {
+			late = append(late, &l[i])
+		} else {
+			timely = append(timely, &l[i])
+		}
+	}
+	byDue := func(a, b *Want) int { return a.Due.Compare(b.Due) }
+	slices.SortStableFunc(timely, byDue)
+	slices.SortStableFunc(late, byDue)
+	return append(timely, late...)
+}
+
+// places are the free places of a service's upstreams.
+type places struct {
+	ids  []string
+	free []int // by upstream; negative where online requests wait for room
+	sum  int   // of those that are positive
+}
+
+func (p *places) add(id string, free int) {
+	p.ids, p.free = append(p.ids, id), append(p.free, free)
+	p.sum += max(0, free)
+}
+
+// take takes a place at the upstream that has the most, or returns ""; one to avoid is chosen only when no other is known.
+func (p *places) take(avoid []string) string {
+	if p.sum == 0 {
+		return ""
+	}
+	best, good := -1, false
+	for i, id := range p.ids {
+		g := len(avoid) == 0 || !slices.Contains(avoid, id)
+		if best < 0 || g && !good || g == good && p.free[i] > p.free[best] {
+			best, good = i, g
 		}
 	}
-	return best
+	if p.free[best] <= 0 {
+		return ""
+	}
+	p.free[best]--
+	p.sum--
+	return p.ids[best]
 }
--- a/internal/transport/batchrun/hub.go
+++ b/internal/transport/batchrun/hub.go
@@ -24,6 +24,7 @@
 
 	mu      sync.Mutex
 	entries map[string]report
+	online  map[string]int // sum of all reports
 	told    map[string]told
 }
 
@@ -40,7 +41,7 @@
 
 // NewHub returns an empty Hub.
 func NewHub() *Hub {
-	return &Hub{entries: map[string]report{}, told: map[string]told{}, onChange: func() {}}
+	return &Hub{entries: map[string]report{}, online: map[string]int{}, told: map[string]told{}, onChange: func() {}}
 }
 
 // Receive takes an entry VM's message.
@@ -50,7 +51,11 @@
 		return // a damaged report is replaced by the next one
 	}
 	h.mu.Lock()
+	h.drop(from)
 	h.entries[from] = report{counts: c, at: time.Now()}
+	for id, n := range c {
+		h.online[id] += n
+	}
 	h.mu.Unlock()
 	h.onChange()
 }
@@ -59,18 +64,23 @@
 func (h *Hub) Online(now time.Time) map[string]int {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	m := map[string]int{}
 	for vm, r := range h.entries {
 		if now.Sub(r.at) > entryExpiry {
-			delete(h.entries, vm)
+			h.drop(vm)
 			delete(h.told, vm)
-			continue
 		}
-		for id, n := range r.counts {
-			m[id] += n
+	}
+	return maps.Clone(h.online)
+}
+
+// drop takes an entry VM's report out.
+func (h *Hub) drop(vm string) {
+	for id, n := range h.entries[vm].counts {
+		if h.online[id] -= n; h.online[id] <= 0 {
+			delete(h.online, id)
 		}
 	}
-	return m
+	delete(h.entries, vm)
 }
 
 // Interval returns the time between messages: longer in large fleets, whose messages are many and long.
--- a/internal/transport/batchrun/runner.go
+++ b/internal/transport/batchrun/runner.go
@@ -50,12 +50,10 @@
 
 	mu      sync.Mutex
 	runs    map[filler.Key]*run
-	partial map[filler.Key]*partial
-	pause   map[filler.Key]time.Time // no run of an item before
-	streaks map[string]int           // failed runs in a row, by upstream
-	avoid   map[filler.Key][]string  // upstreams at which an item has failed
-	closed  map[string]time.Time     // no item to an upstream before
-	ending  map[filler.Key]bool      // the result is being committed
+	items   items
+	wants   []filler.Want        // of the last look; its memory is used again
+	streaks map[string]int       // failed runs in a row, by upstream
+	closed  map[string]time.Time // no item to an upstream before
 	pace    filler.Pace
 	wg      sync.WaitGroup
 }
@@ -123,12 +121,9 @@
 
 func (r *Runner) reset() {
 	r.runs = map[filler.Key]*run{}
-	r.partial = map[filler.Key]*partial{}
-	r.pause = map[filler.Key]time.Time{}
+	r.items = items{}
 	r.streaks = map[string]int{}
-	r.avoid = map[filler.Key][]string{}
 	r.closed = map[string]time.Time{}
-	r.ending = map[filler.Key]bool{}
 }
 
 // step compares what runs with what should.
@@ -165,7 +160,7 @@
 
 // waiting returns the items that may start, and the jobs that have open items.
 func (r *Runner) waiting(ctx context.Context, now time.Time, p *plan.Plan) ([]filler.Want, map[string]bool) {
-	var l []filler.Want
+	l := r.wants[:0]
 	open := map[string]bool{}
 	r.d.Docket.View(func(j *docket.Job) bool {
 		if j.Done() {
@@ -175,29 +170,28 @@
 			return true
 		}
 		open[j.ID] = true
+		states := r.items.of(j)
 		for i := range j.Items {
-			k := filler.Key{Job: j.ID, Item: i}
 			if j.Items[i].Outcome != docket.Open {
-				delete(r.ending, k)
-				delete(r.partial, k)
-				delete(r.avoid, k)
+				states[i] = item{run: states[i].run}
 				continue
 			}
-			if w, ok := r.want(ctx, now, p, j, k); ok {
+			if w, ok := r.want(ctx, now, p, j, filler.Key{Job: j.ID, Item: i}, &states[i]); ok {
 				l = append(l, w)
 			}
 		}
 		return true
 	})
+	r.wants = l
 	return l, open
 }
 
 // want tells whether an item may start now, and where to.
-func (r *Runner) want(ctx context.Context, now time.Time, p *plan.Plan, j *docket.Job, k filler.Key) (filler.Want, bool) {
-	if r.runs[k] != nil || r.ending[k] || now.Before(r.pause[k]) {
+func (r *Runner) want(ctx context.Context, now time.Time, p *plan.Plan, j *docket.Job, k filler.Key, x *item) (filler.Want, bool) {
+	if x.run != nil || x.ending || now.Before(x.pause) {
 		return filler.Want{}, false
 	}
-	u := p.Route(j.Host, j.Items[k.Item].Path)
+	u := x.routeOf(p, j.Host, j.Items[k.Item].Path)
 	if u == nil {
 		if j.Age(now) > routeGrace {
 			r.list(ctx, k, docket.Errored, "")
@@ -205,11 +199,11 @@
 		return filler.Want{}, false
 	}
 	ran := time.Duration(0)
-	if t := r.partial[k]; t != nil {
-		ran = t.ran
+	if x.partial != nil {
+		ran = x.partial.ran
 	}
 	t := filler.Task{Key: k, Due: j.Accepted.Add(u.Due), Left: r.pace.Left(j.Items[k.Item].Tokens, ran)}
-	return filler.Want{Task: t, Service: relay.Choose(u.Targets), Avoid: r.avoid[k]}, true
+	return filler.Want{Task: t, Service: relay.Choose(u.Targets), Avoid: x.avoid}, true
 }
 
 // stopEnded ends the runs of jobs that are ended.
@@ -219,11 +213,7 @@
 			x.cancel()
 		}
 	}
-	for k := range r.partial {
-		if !open[k.Job] {
-			delete(r.partial, k)
-		}
-	}
+	r.items.keep(open)
 }
 
 func (r *Runner) rooms(now time.Time) []filler.Room {
@@ -260,18 +250,18 @@
 			address = u.Address
 		}
 	}
-	if q == nil || address == "" {
+	if q == nil || address == "" || r.items.get(s.Key) == nil {
 		return
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	t := r.partial[s.Key]
-	if t == nil {
-		t = &partial{}
-		r.partial[s.Key] = t
+	i := r.items.get(s.Key)
+	if i.partial == nil {
+		i.partial = &partial{}
 	}
+	t := i.partial
 	x := &run{Run: filler.Run{Task: filler.Task{Key: s.Key, Due: due}, Upstream: s.Upstream}, partial: t, cancel: cancel,
 		began: time.Now(), tokens: size}
-	r.runs[s.Key] = x
+	r.runs[s.Key], i.run = x, x
 	r.wg.Go(func() {
 		defer cancel()
 		o := r.carry(ctx, q, relay.Sending{Upstream: s.Upstream, Address: address, Account: account, Resume: t.last}, t)
@@ -304,6 +294,11 @@
 	defer r.mu.Unlock()
 	defer r.signal()
 	delete(r.runs, x.Key)
+	i := r.items.get(x.Key)
+	if i == nil {
+		i = &item{} // its job has ended
+	}
+	i.run = nil
 	x.partial.ran += now.Sub(x.began)
 	r.d.Log.Info("item run ended", "job", x.Key.Job, "item", x.Key.Item, "upstream", x.Upstream, "outcome", o.String(),
 		"event", x.partial.last, "ran", now.Sub(x.began), "due_in", x.Due.Sub(now))
@@ -315,10 +310,10 @@
 	case hopeless:
 		r.list(ctx, x.Key, docket.Errored, "")
 	case failed:
-		r.failed(ctx, now, x, attempts)
+		r.failed(ctx, now, x, i, attempts)
 	case refused:
 		r.closed[x.Upstream] = now.Add(refusedPause)
-		r.pause[x.Key] = now.Add(rand.N(refusedPause))
+		i.pause = now.Add(rand.N(refusedPause))
 	case broken:
 		r.closed[x.Upstream] = now.Add(failedPause)
 	case stopped:
@@ -326,31 +321,35 @@
 }
 
 // failed counts a failed run and gives the item up when it has had its attempts.
-func (r *Runner) failed(ctx context.Context, now time.Time, x *run, attempts int) {
-	r.avoid[x.Key] = append(r.avoid[x.Key], x.Upstream)
+func (r *Runner) failed(ctx context.Context, now time.Time, x *run, i *item, attempts int) {
+	i.avoid = append(i.avoid, x.Upstream)
 	r.streaks[x.Upstream]++
 	if s := r.streaks[x.Upstream]; s > 1 { // one failure may be the item's own fault
 		r.closed[x.Upstream] = now.Add(min(streakMost, streakBase<<min(s, 8)))
 	}
 	n := 0
 	r.d.Docket.Read(x.Key.Job, func(j *docket.Job) { n = j.Items[x.Key.Item].Failures })
-	delete(r.partial, x.Key)
+	i.partial = nil
 	if n+1 >= max(1, attempts) {
 		r.list(ctx, x.Key, docket.Errored, "")
 		return
 	}
-	r.pause[x.Key] = now.Add(min(failureMax, failureBase<<min(n, 8)))
+	i.pause = now.Add(min(failureMax, failureBase<<min(n, 8)))
 	go r.commit(ctx, docket.Command{Action: docket.Fail, Job: docket.Job{ID: x.Key.Job}, Item: x.Key.Item})
 }
 
 // list commits an item's result.
 func (r *Runner) list(ctx context.Context, k filler.Key, o docket.Outcome, text string) {
-	r.ending[k] = true
+	if x := r.items.get(k); x != nil {
+		x.ending = true
+	}
 	go func() {
 		c := docket.Command{Action: docket.List, Job: docket.Job{ID: k.Job}, Item: k.Item, Outcome: o, Output: text}
 		if !r.commit(ctx, c) {
 			r.mu.Lock()
-			delete(r.ending, k)
+			if x := r.items.get(k); x != nil {
+				x.ending = false
+			}
 			r.mu.Unlock()
 		}
 	}()
--- /dev/null
+++ b/internal/transport/batchrun/step_benchmark_test.go
@@ -0,0 +1,51 @@
+package batchrun
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"testing"
+	"time"
+
+	"snipetack/internal/coordination/roster"
+	"snipetack/internal/state/docket"
+	"snipetack/internal/state/plan"
+)
+
+// Size of a large fleet under a burst of jobs.
+const (
+	burstUpstreams = 71
+	burstEntries   = 45
+	burstJobs      = 150
+	jobItems       = 10
+)
+
+// BenchmarkStep looks at 1,500 waiting items while online requests fill all places.
+func BenchmarkStep(b *testing.B) {
+	d := docket.New()
+	h := NewHub()
+	p := &plan.Plan{Routes: []plan.Route{{Name: "r", Host: "h", Prefix: "/", Kind: plan.Batch, Due: time.Hour, Attempts: 3,
+		Targets: []plan.Target{{Service: "s", Weight: 1}}}}}
+	p.Index()
+	for i := range burstJobs {
+		j := docket.Job{ID: fmt.Sprint("job-", i), Account: "x", Route: "r", Host: "h", Accepted: time.Now()}
+		for k := range jobItems {
+			j.Items = append(j.Items, docket.Item{ID: fmt.Sprint(i, "-", k), Path: "/p/", Tokens: 500})
+		}
+		d.Apply(0, docket.EncodeCommand(docket.Command{Action: docket.Submit, Job: j}))
+	}
+	var l []roster.Upstream
+	full := map[string]int{}
+	for i := range burstUpstreams {
+		l = append(l, roster.Upstream{ID: fmt.Sprint("up-", i), Service: "s", Address: "a", Slots: burstEntries})
+		full[l[i].ID] = 1
+	}
+	for i := range burstEntries {
+		h.Receive(fmt.Sprint("entry-", i), EncodeCounts(full))
+	}
+	r := New(Deps{Docket: d, Leads: func() bool { return true }, Plan: func() *plan.Plan { return p },
+		List: func() []roster.Upstream { return l }, Retention: time.Hour, Log: slog.New(slog.DiscardHandler)}, h)
+	for b.Loop() {
+		r.step(context.Background(), time.Now())
+	}
+}
