--- a/internal/transport/batchrun/carry.go
+++ b/internal/transport/batchrun/carry.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"time"
 
-	"snipetack/internal/coordination/pause"
 	"snipetack/internal/state/docket"
 	"snipetack/internal/transport/httpconn"
 	"snipetack/internal/transport/relay"
@@ -15,14 +14,6 @@
 
 const readBytes = 16 << 10
 
-// Bounds of the time in which events of a run collect before they are read: a read costs as much for one event as
-// for several, and nobody waits for an item's single events.
-const (
-	collectPerRun = 100 * time.Microsecond // for each run in progress
-	collectLeast  = 10 * time.Millisecond  // less than the time between events saves nothing
-	collectMost   = 60 * time.Millisecond  // a few events of a run; they are lost when it gives way
-)
-
 // newRequest returns the request of an item.
 func newRequest(host string, i docket.Item) *relay.Request {
 	h := http.Header{}
@@ -72,19 +63,9 @@
 		case err != nil:
 			return r.unanswered(ctx, q, s, err)
 		}
-		if d := r.collectTime(); d >= collectLeast {
-			pause.For(ctx, d)
-		}
 	}
 }
 
-// collectTime returns for how long the events of a run collect.
-func (r *Runner) collectTime() time.Duration {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return min(collectMost, time.Duration(len(r.runs))*collectPerRun)
-}
-
 // errSilent is the cause of ending a run without events.
 var errSilent = errors.New("no events came")
 
