dispatch: Keep to open connections and to the near data centre in large fleets

Change: of upstreams with an open connection, of those in the near data centre and of the others, four each are compared; an open connection counts like two requests of eight. Test: TestLargeFleetKeepsToOpenConnections.

--- a/internal/command/node/entry.go
+++ b/internal/command/node/entry.go
@@ -49,12 +49,12 @@
 
 func newEntry(n *Node) (*entry, error) {
 	e := &entry{n: n, pressed: make(chan struct{}, 1)}
-	e.pool = dispatch.New(n.Settings.Zone, func(dispatch.Choice) {
+	e.pool = dispatch.New(dispatch.Deps{Zone: n.Settings.Zone, Connected: n.conns.Idle, Pressed: func(dispatch.Choice) {
 		select {
 		case e.pressed <- struct{}{}:
 		default:
 		}
-	})
+	}})
 	m := n.member
 	m.buckets = share.NewBuckets(slackPart * n.Settings.QuotaSlack)
 	m.onList = func(l []roster.Upstream) { e.pool.SetUpstreams(time.Now(), l) }
--- a/internal/coordination/dispatch/dispatch_test.go
+++ b/internal/coordination/dispatch/dispatch_test.go
@@ -23,7 +23,7 @@
 
 func newPool(now time.Time, n int) (*dispatch.Pool, *int) {
 	pressed := 0
-	p := dispatch.New("a", func(dispatch.Choice) { pressed++ })
+	p := dispatch.New(dispatch.Deps{Zone: "a", Connected: func(string) bool { return false }, Pressed: func(dispatch.Choice) { pressed++ }})
 	p.SetUpstreams(now, upstreams(n))
 	return p, &pressed
 }
@@ -247,3 +247,38 @@
 	}
 	require.True(t, p.Spend())
 }
+
+// TestLargeFleetKeepsToOpenConnections sends one request after the other through one of many VMs: nearly all go where a
+// connection is open, and to the VM's own data centre.
+func TestLargeFleetKeepsToOpenConnections(t *testing.T) {
+	now := time.Unix(1000, 0)
+	open := map[string]bool{}
+	p := dispatch.New(dispatch.Deps{Zone: "a", Connected: func(a string) bool { return open[a] }, Pressed: func(dispatch.Choice) {}})
+	l := upstreams(70)
+	for i := range l {
+		l[i].Zone = string(rune('a' + i%5))
+	}
+	p.SetUpstreams(now, l)
+	made, near := 0, 0
+	var held []dispatch.Choice
+	for range 1000 {
+		c, _, ok := p.Take(now, dispatch.Request{Service: "s"})
+		require.True(t, ok)
+		if !open[c.Address] {
+			made++
+		}
+		delete(open, c.Address)
+		if held = append(held, c); len(held) == 4 {
+			p.End(now, held[0])
+			open[held[0].Address] = true
+			held = held[1:]
+		}
+		for i, u := range l {
+			if u.ID == c.ID && i%5 == 0 {
+				near++
+			}
+		}
+	}
+	require.LessOrEqual(t, made, 50)
+	require.GreaterOrEqual(t, near, 900)
+}
--- a/internal/coordination/dispatch/pool.go
+++ b/internal/coordination/dispatch/pool.go
@@ -19,13 +19,14 @@
 	ejectMost     = 4 * time.Second
 	fullPenalty   = 1.0  // where a batch item must give way first, in shares of an upstream's slots
 	zonePenalty   = 0.13 // for another data centre: about one request of eight
+	connectBonus  = 0.25 // where a connection is open: a new one costs a round trip and holds a place
 	affinityBonus = 0.13 // where the session's prompt was read before
 	coldPenalty   = 0.3
 	waitersMax    = 2048
 	failedPenalty = 1.5             // of one failed answer; more than a full upstream costs
 	failedHalf    = 2 * time.Second // the penalty halves in this time
 	failedMost    = 12.0
-	samples       = 4  // upstreams that are compared in a large fleet, so that entries do not all choose the same one
+	samples       = 4  // upstreams that are compared in a large fleet, of each kind, so that entries do not all choose the same one
 	smallFleet    = 16 // upstreams that are all compared
 )
 
@@ -75,7 +76,7 @@
 
 // Pool knows the upstreams and the requests that wait for them; it is safe for concurrent use.
 type Pool struct {
-	zone string
+	d Deps
 
 	mu       sync.Mutex
 	byID     map[string]*upstream
@@ -83,17 +84,22 @@
 	loadsAt  time.Time
 	waiters  map[string][]*waiter // by service, in order
 	next     uint64
-	changed  func(Choice) // a place was taken where a batch item has to give way
 }
 
-// New returns an empty Pool of a VM in a data centre; pressed is told of places taken where a batch item must give way.
-func New(zone string, pressed func(Choice)) *Pool {
+// Deps are the collaborators of a Pool.
+type Deps struct {
+	Zone      string                    // data centre of this VM
+	Connected func(address string) bool // a connection is open and idle
+	Pressed   func(Choice)              // a place was taken where a batch item has to give way
+}
+
+// New returns an empty Pool.
+func New(d Deps) *Pool {
 	return &Pool{
-		zone:     zone,
+		d:        d,
 		byID:     map[string]*upstream{},
 		services: map[string][]*upstream{},
 		waiters:  map[string][]*waiter{},
-		changed:  pressed,
 	}
 }
 
@@ -271,7 +277,7 @@
 	u.mine++
 	c := Choice{ID: u.ID, Address: u.Address, Load: u.mine + p.others(now, u).Online + p.others(now, u).Batch, Slots: u.Slots}
 	if c.Slots > 0 && c.Load > c.Slots && p.others(now, u).Batch > 0 {
-		p.changed(c)
+		p.d.Pressed(c)
 	}
 	return c
 }
@@ -306,27 +312,37 @@
 // pick returns the upstream with room that serves a request best, or nil.
 func (p *Pool) pick(now time.Time, r Request) *upstream {
 	l := p.services[r.Service]
-	most := len(l)
-	if most > smallFleet && r.Prefer == "" {
+	limit := len(l)
+	if limit > smallFleet && r.Prefer == "" {
 		l = shuffled(l)
-		most = samples
+		limit = samples
 	}
 	var best *upstream
 	score := 0.0
+	seen := map[kind]int{}
 	for _, u := range l {
-		if !p.hasRoom(now, u, r) {
+		k := p.kind(u)
+		if seen[k] >= limit || !p.hasRoom(now, u, r) {
 			continue
 		}
+		seen[k]++
 		if s := p.score(now, u, r); best == nil || s < score {
 			best, score = u, s
 		}
-		if most--; most == 0 {
-			break
-		}
 	}
 	return best
 }
 
+// kind is what makes an upstream cheaper to reach than others.
+type kind struct {
+	near      bool // in this VM's data centre
+	connected bool
+}
+
+func (p *Pool) kind(u *upstream) kind {
+	return kind{near: u.Zone == p.d.Zone, connected: p.d.Connected(u.Address)}
+}
+
 func shuffled(l []*upstream) []*upstream {
 	s := make([]*upstream, len(l))
 	for i, j := range rand.Perm(len(l)) {
@@ -359,9 +375,13 @@
 	if s >= 1 {
 		s += fullPenalty
 	}
-	if u.Zone != p.zone {
+	k := p.kind(u)
+	if !k.near {
 		s += zonePenalty
 	}
+	if k.connected {
+		s -= connectBonus
+	}
 	if u.Cold > 0 {
 		s += coldPenalty
 	}
--- a/internal/transport/httpconn/pool.go
+++ b/internal/transport/httpconn/pool.go
@@ -86,6 +86,14 @@
 	return a, nil
 }
 
+// Idle reports whether a connection to an address is open and idle.
+func (p *Pool) Idle(address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l := p.idle[address]
+	return len(l) > 0 && time.Now().Before(l[len(l)-1].until)
+}
+
 // Prune closes idle connections to addresses that are not in use any more, and those past their time.
 func (p *Pool) Prune(now time.Time, used func(address string) bool) {
 	p.mu.Lock()
--- a/internal/transport/relay/relay_test.go
+++ b/internal/transport/relay/relay_test.go
@@ -130,7 +130,7 @@
 func serve(t *testing.T, p *plan.Plan, u *upstreams, change func(q *relay.Request)) *caller {
 	c := &caller{}
 	synctest.Test(t, func(*testing.T) {
-		pool := dispatch.New("a", func(dispatch.Choice) {})
+		pool := dispatch.New(dispatch.Deps{Zone: "a", Connected: func(string) bool { return false }, Pressed: func(dispatch.Choice) {}})
 		var l []roster.Upstream
 		for i := range 3 {
 			l = append(l, roster.Upstream{ID: fmt.Sprint("up-", i), Service: "s", Address: "a", Slots: 1})
@@ -303,7 +303,7 @@
 	for _, back := range []bool{false, true} {
 		t.Run(fmt.Sprint(back), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				pool := dispatch.New("a", func(dispatch.Choice) {})
+				pool := dispatch.New(dispatch.Deps{Zone: "a", Connected: func(string) bool { return false }, Pressed: func(dispatch.Choice) {}})
 				pool.SetUpstreams(time.Now(), []roster.Upstream{{ID: "up", Service: "s", Slots: 1}})
 				_, _, ok := pool.Take(time.Now(), dispatch.Request{Service: "s"})
 				require.True(t, ok)
