node: Say that a batch VM is empty at any control VM's first question

Each of nine control VMs waited a second from the first question that it got itself, and the operator asks another one each time. Change: the second counts from when a control VM learned that the batch VM leaves. Ruled out: a late removal (membership change logged at 7.585 s), a leader out of touch.

--- a/internal/command/node/control.go
+++ b/internal/command/node/control.go
@@ -38,13 +38,13 @@
 	newest  chan []byte // the last committed configuration that is not in force here yet; has room for one
 
 	mu      sync.Mutex
-	roster  *roster.Roster // nil unless this VM leads
-	ledger  *share.Ledger  // with roster
-	retired map[string]time.Time
+	roster  *roster.Roster       // nil unless this VM leads
+	ledger  *share.Ledger        // with roster
+	leaving map[string]time.Time // since when this VM knows who leaves, by name
 }
 
 func newControl(n *Node) (*control, error) {
-	c := &control{n: n, retired: map[string]time.Time{}, newest: make(chan []byte, 1)}
+	c := &control{n: n, leaving: map[string]time.Time{}, newest: make(chan []byte, 1)}
 	c.machine = plan.NewControl(c.observe)
 	var founders []string
 	if n.Settings.Bootstrap {
@@ -103,6 +103,7 @@
 
 // observe takes committed states; of many that come at once, as after a start, only the last is worth reading.
 func (c *control) observe(s plan.State) {
+	c.noteLeaving(time.Now(), s.Leaving)
 	if len(s.Document) == 0 {
 		return
 	}
@@ -113,6 +114,16 @@
 	c.newest <- s.Document
 }
 
+func (c *control) noteLeaving(now time.Time, names []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, n := range names {
+		if _, ok := c.leaving[n]; !ok {
+			c.leaving[n] = now
+		}
+	}
+}
+
 // adopt puts committed configurations in force here.
 func (c *control) adopt(ctx context.Context) error {
 	for {
@@ -335,16 +346,12 @@
 		return false, result.New(result.VMUnknown, "batch VM %q is not leaving", vm)
 	}
 	c.mu.Lock()
-	first, ok := c.retired[vm]
-	if !ok {
-		first = time.Now()
-		c.retired[vm] = first
-	}
+	since := c.leaving[vm]
 	c.mu.Unlock()
 	m := c.n.member
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	if m.batchLeader == "" || len(m.batchMembers) == 0 || time.Since(first) < retireSettle {
+	if m.batchLeader == "" || len(m.batchMembers) == 0 || time.Since(since) < retireSettle {
 		return false, nil
 	}
 	for _, v := range m.vms {
