telemetry: Keep lines about the fleet when lines about items fill the budget

Change: lines about one request or item leave a quarter of the budget to others and are dropped before they are encoded; a line a second counts what was dropped; a damaged report of requests in flight gets a log line.

--- a/internal/command/node/batch.go
+++ b/internal/command/node/batch.go
@@ -32,7 +32,7 @@
 }
 
 func newBatch(n *Node) (*batch, error) {
-	b := &batch{n: n, docket: docket.New(), hub: batchrun.NewHub()}
+	b := &batch{n: n, docket: docket.New(), hub: batchrun.NewHub(n.Log)}
 	b.runner = batchrun.New(batchrun.Deps{
 		Docket:    b.docket,
 		Upstreams: n.Surroundings.Upstreams(n.conns),
--- a/internal/transport/batchrun/hub.go
+++ b/internal/transport/batchrun/hub.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"log/slog"
 	"maps"
 	"sync"
 	"time"
@@ -20,6 +21,7 @@
 
 // Hub collects what is in flight from all entry VMs and tells each what the others have; it is safe for concurrent use.
 type Hub struct {
+	log      *slog.Logger
 	onChange func()
 
 	mu      sync.Mutex
@@ -40,15 +42,16 @@
 }
 
 // NewHub returns an empty Hub.
-func NewHub() *Hub {
-	return &Hub{entries: map[string]report{}, online: map[string]int{}, told: map[string]told{}, onChange: func() {}}
+func NewHub(l *slog.Logger) *Hub {
+	return &Hub{log: l, entries: map[string]report{}, online: map[string]int{}, told: map[string]told{}, onChange: func() {}}
 }
 
 // Receive takes an entry VM's message.
 func (h *Hub) Receive(from string, b []byte) {
 	c, err := DecodeCounts(b)
 	if err != nil {
-		return // a damaged report is replaced by the next one
+		h.log.Warn("report of requests in flight dropped, the next one replaces it", "peer", from, "error", err)
+		return
 	}
 	h.mu.Lock()
 	h.drop(from)
--- a/internal/transport/batchrun/runner_test.go
+++ b/internal/transport/batchrun/runner_test.go
@@ -132,7 +132,7 @@
 func play(t *testing.T, e *engine, f func(w *world)) {
 	synctest.Test(t, func(*testing.T) {
 		e.runs = map[string][]relay.Sending{}
-		w := &world{docket: docket.New(), engine: e, hub: NewHub()}
+		w := &world{docket: docket.New(), engine: e, hub: NewHub(slog.New(slog.DiscardHandler))}
 		w.leads.Store(true)
 		p := &plan.Plan{Routes: []plan.Route{{Name: "r", Host: "h", Prefix: "/", Kind: plan.Batch, Due: 18 * time.Second, Attempts: 3,
 			Targets: []plan.Target{{Service: "s", Weight: 1}}}}}
@@ -283,7 +283,7 @@
 
 func TestHubTellsEachEntryWhatTheOthersHave(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		h := NewHub()
+		h := NewHub(slog.New(slog.DiscardHandler))
 		h.Receive("a", EncodeCounts(map[string]int{"up": 2, "down": 1}))
 		h.Receive("b", EncodeCounts(map[string]int{"up": 3}))
 		due := h.Due(time.Now(), map[string]int{"up": 4})
--- a/internal/transport/batchrun/step_benchmark_test.go
+++ b/internal/transport/batchrun/step_benchmark_test.go
@@ -23,7 +23,7 @@
 // BenchmarkStep looks at 1,500 waiting items while online requests fill all places.
 func BenchmarkStep(b *testing.B) {
 	d := docket.New()
-	h := NewHub()
+	h := NewHub(slog.New(slog.DiscardHandler))
 	p := &plan.Plan{Routes: []plan.Route{{Name: "r", Host: "h", Prefix: "/", Kind: plan.Batch, Due: time.Hour, Attempts: 3,
 		Targets: []plan.Target{{Service: "s", Weight: 1}}}}}
 	p.Index()
--- a/internal/transport/telemetry/logring.go
+++ b/internal/transport/telemetry/logring.go
@@ -10,7 +10,9 @@
 // Bounds of a LogRing.
 const (
 	ringLines   = 2048
-	bytesPerSec = 48 << 10 // lines beyond are counted and dropped
+	bytesPerSec = 48 << 10    // lines beyond are counted and dropped
+	reserve     = 12 << 10    // bytes of the budget that lines about single requests and items leave to others
+	tellDropped = time.Second // between lines that count what was dropped
 )
 
 // LogRing writes log lines in the background; it never blocks, and drops lines beyond its bounds.
@@ -22,8 +24,9 @@
 	mu      sync.Mutex
 	budget  float64 // bytes that may be written now
 	at      time.Time
-	dropped int // since the last line about it
-	total   int // dropped since the start
+	dropped int       // since the last line about it
+	told    time.Time // when that was
+	total   int       // dropped since the start
 	closed  bool
 }
 
@@ -41,17 +44,13 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
-	r.budget = min(bytesPerSec, r.budget+bytesPerSec*now.Sub(r.at).Seconds())
-	r.at = now
+	r.refill(now)
 	if r.closed || r.budget < float64(len(b)) {
 		r.dropped++
 		r.total++
 		return len(b), nil
 	}
-	if r.dropped > 0 && !r.offer(fmt.Appendf(nil, "{\"level\":\"WARN\",\"msg\":\"log lines dropped\",\"lines\":%d}\n", r.dropped)) {
-		return len(b), nil
-	}
-	r.dropped = 0
+	r.tell(now)
 	if r.offer(append([]byte(nil), b...)) {
 		r.budget -= float64(len(b))
 	} else {
@@ -61,6 +60,35 @@
 	return len(b), nil
 }
 
+// crowded reports, and counts a line as dropped, when only the reserve is left.
+func (r *LogRing) crowded() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.refill(time.Now())
+	if r.budget > reserve {
+		return false
+	}
+	r.dropped++
+	r.total++
+	return true
+}
+
+func (r *LogRing) refill(now time.Time) {
+	r.budget = min(bytesPerSec, r.budget+bytesPerSec*now.Sub(r.at).Seconds())
+	r.at = now
+}
+
+// tell writes how many lines were dropped, at most once in a while.
+func (r *LogRing) tell(now time.Time) {
+	if r.dropped == 0 || now.Sub(r.told) < tellDropped {
+		return
+	}
+	b := fmt.Appendf(nil, "{\"time\":%q,\"level\":\"WARN\",\"msg\":\"log lines dropped\",\"lines\":%d}\n", now.Format(time.RFC3339Nano), r.dropped)
+	if r.offer(b) {
+		r.dropped, r.told = 0, now
+	}
+}
+
 // Dropped returns how many lines were dropped so far.
 func (r *LogRing) Dropped() int {
 	r.mu.Lock()
