batchrun: Keep items off upstreams that online requests fill

Change: an upstream at which an item gives way to online requests gets no item for 150 ms. Beside it: a run that was told to give way is not told again, and the plan tells runs that give way to online requests from late ones.

--- a/internal/coordination/filler/filler.go
+++ b/internal/coordination/filler/filler.go
@@ -63,10 +63,18 @@
 	return -1
 }
 
-// Plan returns the items to start, the most urgent first, and the runs that must give way.
+// Decision is what to start and to stop.
+type Decision struct {
+	Starts    []Start // the most urgent first
+	Preempted []Key   // runs that give way to online requests
+	Yielding  []Key   // late runs that give way to items that can be on time
+}
+
+// Plan decides what to start and to stop.
 //
 // Items take every free place, as they give way at once. Runs give way to online requests, and those that will be late anyway to items that can still be on time.
-func Plan(now time.Time, rooms []Room, running []Run, waiting []Want) (starts []Start, stops []Key) {
+func Plan(now time.Time, rooms []Room, running []Run, waiting []Want) Decision {
+	var d Decision
 	used := map[string][]Run{}
 	for _, r := range running {
 		used[r.Upstream] = append(used[r.Upstream], r)
@@ -75,7 +83,7 @@
 	for _, r := range rooms {
 		n := r.Slots - r.Online - len(used[r.ID])
 		if n < 0 {
-			stops = append(stops, last(now, used[r.ID], -n)...)
+			d.Preempted = append(d.Preempted, last(now, used[r.ID], -n)...)
 		}
 		if r.Closed {
 			continue
@@ -95,12 +103,13 @@
 		}
 		switch {
 		case id != "":
-			starts = append(starts, Start{Key: w.Key, Upstream: id})
+			d.Starts = append(d.Starts, Start{Key: w.Key, Upstream: id})
 		case !w.late(now):
 			unplaced[w.Service]++
 		}
 	}
-	return starts, append(stops, yield(now, rooms, used, unplaced, stops)...)
+	d.Yielding = yield(now, rooms, used, unplaced, d.Preempted)
+	return d
 }
 
 // yield returns the late runs that make room for items that can be on time.
--- a/internal/coordination/filler/filler_test.go
+++ b/internal/coordination/filler/filler_test.go
@@ -101,9 +101,9 @@
 	}
 	for _, c := range table {
 		t.Run(c.name, func(t *testing.T) {
-			starts, stops := filler.Plan(start, c.rooms, c.running, c.waiting)
-			require.Equal(t, c.starts, started(starts))
-			require.Equal(t, c.stops, keys(stops))
+			d := filler.Plan(start, c.rooms, c.running, c.waiting)
+			require.Equal(t, c.starts, started(d.Starts))
+			require.Equal(t, c.stops, keys(append(d.Preempted, d.Yielding...)))
 		})
 	}
 }
@@ -145,11 +145,11 @@
 				waiting = append(waiting, want(i, due, left[i]))
 			}
 		}
-		starts, stops := filler.Plan(start.Add(now), rooms, running, waiting)
-		for _, k := range stops {
+		d := filler.Plan(start.Add(now), rooms, running, waiting)
+		for _, k := range append(d.Preempted, d.Yielding...) {
 			delete(at, k.Item)
 		}
-		for _, s := range starts {
+		for _, s := range d.Starts {
 			at[s.Key.Item] = s.Upstream
 		}
 		used := map[string]int{}
--- a/internal/transport/batchrun/runner.go
+++ b/internal/transport/batchrun/runner.go
@@ -21,6 +21,7 @@
 	leastStep    = 4 * time.Millisecond   // so that many events share a look
 	commitTime   = 3 * time.Second        // of one result
 	refusedPause = 150 * time.Millisecond // an upstream that had no room gets no item
+	yieldPause   = 150 * time.Millisecond // an upstream that online requests fill gets no item: a shorter run brings less than it costs
 	failedPause  = time.Second            // an upstream that broke off or fell silent gets no item
 	failureBase  = 300 * time.Millisecond // an item whose run failed waits, twice as long each time
 	failureMax   = 5 * time.Second
@@ -61,10 +62,11 @@
 // run is an item at an upstream.
 type run struct {
 	filler.Run
-	partial *partial
-	began   time.Time
-	tokens  int
-	cancel  context.CancelFunc
+	partial  *partial
+	began    time.Time
+	tokens   int
+	cancel   context.CancelFunc
+	stopping bool // was told to give way
 }
 
 // partial is what earlier runs of an item have brought.
@@ -148,16 +150,30 @@
 		y.Left = r.pace.Left(x.tokens, x.partial.ran+now.Sub(x.began))
 		running = append(running, y)
 	}
-	starts, stops := filler.Plan(now, r.rooms(now), running, waiting)
-	for _, k := range stops {
-		r.d.Log.Info("item gives way", "job", k.Job, "item", k.Item, "upstream", r.runs[k].Upstream)
-		r.runs[k].cancel()
+	d := filler.Plan(now, r.rooms(now), running, waiting)
+	for _, k := range d.Preempted {
+		r.closed[r.runs[k].Upstream] = now.Add(yieldPause) // at least until the run has ended
+		r.stop(k, "online")
 	}
-	for _, s := range starts {
+	for _, k := range d.Yielding {
+		r.stop(k, "item due")
+	}
+	for _, s := range d.Starts {
 		r.start(ctx, s, p)
 	}
 }
 
+// stop ends a run that gives way.
+func (r *Runner) stop(k filler.Key, to string) {
+	x := r.runs[k]
+	if x.stopping {
+		return
+	}
+	x.stopping = true
+	r.d.Log.Info("item gives way", "job", k.Job, "item", k.Item, "upstream", x.Upstream, "to", to)
+	x.cancel()
+}
+
 // waiting returns the items that may start, and the jobs that have open items.
 func (r *Runner) waiting(ctx context.Context, now time.Time, p *plan.Plan) ([]filler.Want, map[string]bool) {
 	l := r.wants[:0]
