node: Keep entries' own reads of the list within its rate, and ask soon for a list at the start

Cause: the setting of the list's rate was read and not used: 45 entries out of touch, each reading two pages a second, would have made 90 calls a second of 50 allowed. Test: TestEntriesShareTheRateOfTheList.

--- a/internal/command/node/entry.go
+++ b/internal/command/node/entry.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"maps"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -33,6 +34,7 @@
 	headerTimeout = 10 * time.Second
 	idleTimeout   = 2 * time.Minute // longer than any configuration lets callers reuse a connection
 	headerBytes   = 64 << 10
+	listPart      = 0.5 // of the list's rate that all entries use together, the rest is the control VMs'
 	slackPart     = 0.9 // of the slack that the buckets may use together
 )
 
@@ -132,10 +134,13 @@
 // maintain closes connections out of use, and reads the list of upstreams when the control VMs do not.
 func (e *entry) maintain(ctx context.Context) error {
 	pruned := time.Now()
+	next := pruned
 	for pause.For(ctx, time.Second) {
 		l, read := e.n.member.Upstreams()
-		if time.Since(read) > listStale {
+		if now := time.Now(); now.Sub(read) > listStale && !now.Before(next) {
 			e.readList(ctx)
+			d := listPause(len(e.n.member.addresses(roster.Entry)), e.n.list.Calls(), e.n.Settings.ListRate)
+			next = now.Add(d/2 + rand.N(d)) // entries that lost the control VMs together do not read together
 		}
 		if time.Since(pruned) < pruneInterval {
 			continue
@@ -150,6 +155,11 @@
 	return nil
 }
 
+// listPause returns the time between an entry's own reads of the list, which takes so many calls a second from all.
+func listPause(entries, calls int, rate float64) time.Duration {
+	return time.Duration(float64(max(1, entries)*calls) / (listPart * max(1, rate)) * float64(time.Second))
+}
+
 func (e *entry) readList(ctx context.Context) {
 	at := time.Now()
 	l, err := e.n.list.Read(ctx)
--- /dev/null
+++ b/internal/command/node/entry_test.go
@@ -0,0 +1,22 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestEntriesShareTheRateOfTheList lets all entries of a fleet read at once: together they stay within their part.
+func TestEntriesShareTheRateOfTheList(t *testing.T) {
+	for _, c := range []struct {
+		entries, calls int
+		rate           float64
+	}{{1, 1, 40}, {9, 1, 47}, {56, 2, 50}, {370, 13, 40}, {5, 1, 0}} {
+		d := listPause(c.entries, c.calls, c.rate)
+		require.Positive(t, d)
+		total := float64(c.entries*c.calls) / d.Seconds()
+		require.InDelta(t, listPart*max(1, c.rate), total, 0.01)
+	}
+	require.Equal(t, 4480*time.Millisecond, listPause(56, 2, 50))
+}
--- a/internal/command/node/member.go
+++ b/internal/command/node/member.go
@@ -204,9 +204,13 @@
 	return nil
 }
 
+// interval returns the time between reports; a VM that lacks the list of upstreams asks again soon.
 func (m *member) interval() time.Duration {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
+	if m.plan != nil && m.listTag == 0 {
+		return syncRetry
+	}
 	return max(syncInterval, time.Duration(len(m.vms))*syncPerVM)
 }
 
--- a/internal/command/node/node.go
+++ b/internal/command/node/node.go
@@ -30,6 +30,8 @@
 // ListProvider reads the list of upstreams.
 type ListProvider interface {
 	Read(ctx context.Context) ([]roster.Upstream, error)
+	// Calls returns how many calls the last read took, at least one.
+	Calls() int
 }
 
 // ControlProvider is what operators call at a control VM.
