--- a/internal/command/node/member.go
+++ b/internal/command/node/member.go
@@ -372,7 +372,7 @@
 	if fresh && m.onList != nil {
 		m.onList(b.Upstreams)
 	}
-	if m.buckets != nil && len(b.Shares) > 0 && p != nil {
+	if m.buckets != nil && b.Leads && p != nil {
 		m.buckets.Adopt(now, b.Shares, limitsOf(p), entries)
 	}
 }
--- a/internal/coordination/share/owner.go
+++ b/internal/coordination/share/owner.go
@@ -28,7 +28,7 @@
 	return &Owner{entries: map[string]*holder{}}
 }
 
-// Report takes an entry's demand and the shares in force there, and returns its new shares.
+// Report takes an entry's demand and the shares in force there, and returns the shares that change.
 func (o *Owner) Report(now time.Time, vm string, incarnation int64, have, demand map[string]float64, accounts []string) map[string]float64 {
 	o.expire(now)
 	h := o.entries[vm]
@@ -44,7 +44,9 @@
 	shares := map[string]float64{}
 	for _, a := range accounts {
 		s := o.next(a, vm, h)
-		shares[a] = s
+		if s != have[a] {
+			shares[a] = s
+		}
 		h.granted[a] = max(h.granted[a], s)
 	}
 	return shares
--- a/internal/transport/batchrun/runner.go
+++ b/internal/transport/batchrun/runner.go
@@ -21,7 +21,6 @@
 	leastStep    = 4 * time.Millisecond   // so that many events share a look
 	commitTime   = 3 * time.Second        // of one result
 	refusedPause = 150 * time.Millisecond // an upstream that had no room gets no item
-	yieldPause   = 150 * time.Millisecond // an upstream that online requests fill gets no item: a shorter run brings less than it costs
 	failedPause  = time.Second            // an upstream that broke off or fell silent gets no item
 	failureBase  = 300 * time.Millisecond // an item whose run failed waits, twice as long each time
 	failureMax   = 5 * time.Second
@@ -152,7 +151,6 @@
 	}
 	d := filler.Plan(now, r.rooms(now), running, waiting)
 	for _, k := range d.Preempted {
-		r.closed[r.runs[k].Upstream] = now.Add(yieldPause) // at least until the run has ended
 		r.stop(k, "online")
 	}
 	for _, k := range d.Yielding {
