--- a/internal/transport/telemetry/decisions.go
+++ b/internal/transport/telemetry/decisions.go
@@ -5,9 +5,6 @@
 	"log/slog"
 )
 
-// decisionKeys name the first attribute of lines about one request, item or job.
-var decisionKeys = map[string]bool{"request": true, "job": true}
-
 // Decisions drops lines about single requests and items when their part of a LogRing's budget is used up, so that what
 // a VM learns of the fleet is still written under load.
 type Decisions struct {
@@ -26,7 +23,7 @@
 func (d *Decisions) Handle(ctx context.Context, r slog.Record) error {
 	single := false
 	r.Attrs(func(a slog.Attr) bool {
-		single = decisionKeys[a.Key]
+		single = a.Key == "request" || a.Key == "job" // always the first attribute
 		return false
 	})
 	if single && r.Level < slog.LevelWarn && d.ring.crowded() {
