explain: Tell the story of a request or job from logs

What on-call engineers did by hand (docs/OPERATIONS.md): collect the lines that name a request or job over all VMs, and what those VMs learned of the fleet within 2 s of them. No serving code changes.

--- a/internal/command/cli/entries.go
+++ b/internal/command/cli/entries.go
@@ -12,6 +12,7 @@
 		{name: "serve", short: "run one VM of a fleet", long: "Runs the VM that --vm names until SIGTERM, which stops it gracefully.", make: fresh[serve]()},
 		{name: "node", short: "run one VM that finds the others", long: "Runs one VM of a fleet whose VMs find each other from seeds, until SIGTERM, which stops it gracefully.", make: fresh[nodeCommand]()},
 		{name: "check", short: "check a settings file", long: "Reads a settings file and prints the first mistake with file, line, column and key.", make: fresh[check]()},
+		{name: "explain", short: "tell the story of a request or job", long: "Reads logs of VMs and prints the lines about a request or job (marked *), with what its VMs learned of the fleet meanwhile.", make: fresh[explainCommand]()},
 		{name: "certs", short: "create certificates", long: "Creates the fleet's authority, a certificate for each VM and the operator's token.", make: fresh[certs]()},
 		{name: "change", short: "apply a configuration change", long: "Sends a change in JSON to a VM's operator address.", make: fresh[change]()},
 		{name: "standin", short: "run stand-in upstreams", long: "Runs stand-in model engines or plain services, for trials and tests.", make: fresh[standin]()},
