--- a/internal/command/cli/explain.go
+++ b/internal/command/cli/explain.go
@@ -18,26 +18,9 @@
 }
 
 func (c explainCommand) run(e *environment) error {
-	var lines []explain.Line
-	others := 0
-	for _, f := range c.Position.Files {
-		h, err := os.Open(f)
-		if err != nil {
-			return errors.Wrap(err, "opening a log")
-		}
-		l, n, err := explain.Read(h)
-		_ = h.Close()
-		if err != nil {
-			return errors.Wrap(err, f)
-		}
-		lines, others = append(lines, l...), others+n
-	}
-	if len(c.Position.Files) == 0 {
-		l, n, err := explain.Read(e.in)
-		if err != nil {
-			return err
-		}
-		lines, others = l, n
+	lines, others, err := c.read(e.in)
+	if err != nil {
+		return err
 	}
 	s := explain.Tell(lines, c.Position.ID)
 	if len(s) == 0 {
@@ -46,6 +29,31 @@
 	return printStory(e.out, s)
 }
 
+// read returns the lines of all logs, and how many others they hold.
+func (c explainCommand) read(in io.Reader) (lines []explain.Line, others int, err error) {
+	if len(c.Position.Files) == 0 {
+		return explain.Read(in)
+	}
+	for _, f := range c.Position.Files {
+		l, n, err := readLog(f)
+		if err != nil {
+			return nil, 0, err
+		}
+		lines, others = append(lines, l...), others+n
+	}
+	return lines, others, nil
+}
+
+func readLog(file string) ([]explain.Line, int, error) {
+	h, err := os.Open(file)
+	if err != nil {
+		return nil, 0, errors.Wrap(err, "opening a log")
+	}
+	defer h.Close()
+	l, n, err := explain.Read(h)
+	return l, n, errors.Wrap(err, file)
+}
+
 func printStory(w io.Writer, s explain.Story) error {
 	for _, x := range s {
 		mark := "*"
--- a/internal/transport/jobs/server.go
+++ b/internal/transport/jobs/server.go
@@ -108,49 +108,44 @@
 }
 
 func (s *Server) read(ctx context.Context, c call) answer {
-	until := time.NewTimer(c.wait)
-	defer until.Stop()
-	for {
-		changed := s.d.Changed()
+	return s.await(ctx, c.wait, func() (answer, bool) {
 		if a, ok := s.current(ctx); !ok {
-			return a
+			return a, true
 		}
 		a := s.page(c)
-		if a.status != OK || len(a.page.Results) > 0 || a.page.Total == c.after || c.wait <= 0 {
-			return a
-		}
-		select {
-		case <-changed:
-		case <-until.C:
-			return a
-		case <-ctx.Done():
-			return a
-		}
-	}
+		return a, a.status != OK || len(a.page.Results) > 0 || a.page.Total == c.after
+	})
 }
 
 // readCopy answers with the results that this VM has, whether it leads or not, and waits for the first one as long
 // as a leader may send it.
 func (s *Server) readCopy(ctx context.Context, c call) answer {
-	until := time.NewTimer(c.wait)
-	defer until.Stop()
-	for {
-		changed := s.d.Changed()
+	return s.await(ctx, c.wait, func() (answer, bool) {
 		a := s.page(c)
 		if len(a.page.Results) > 0 {
-			return a
+			return a, true
 		}
 		l, _ := s.g.Leader(s.group)
-		moved := answer{status: Moved, leader: l}
-		if a.status != OK || a.page.Total == c.after || c.wait <= 0 || l == "" {
-			return moved
+		return answer{status: Moved, leader: l}, a.status != OK || a.page.Total == c.after || l == ""
+	})
+}
+
+// await looks after each change until a look is final, the wait is over or ctx ends.
+func (s *Server) await(ctx context.Context, wait time.Duration, look func() (a answer, final bool)) answer {
+	until := time.NewTimer(wait)
+	defer until.Stop()
+	for {
+		changed := s.d.Changed()
+		a, final := look()
+		if final || wait <= 0 {
+			return a
 		}
 		select {
 		case <-changed:
 		case <-until.C:
-			return moved
+			return a
 		case <-ctx.Done():
-			return moved
+			return a
 		}
 	}
 }
