node: Log that no leading control VM is found

It now logs every 2 s which control VMs it asks, which leader was named to it and whether it has a configuration. Ruled out: a line for each failed report, which is 25 lines a second for each VM of the fleet.

--- a/internal/command/node/member.go
+++ b/internal/command/node/member.go
@@ -27,6 +27,7 @@
 	reloadInterval  = 2 * time.Second       // between reads of the settings file while no control VM responds
 	leaderAvoidTime = time.Second           // the leader is not called for this time after a failed call
 	shareInterval   = time.Second           // between requests for shares, for use while the owner of the limits is unresponsive
+	noLeaderReport  = 2 * time.Second       // between log lines while no control VM is found that leads
 )
 
 var errNoControl = errors.New("no control VM is known")
@@ -182,7 +183,13 @@
 	at := rand.IntN(1 << 10)
 	failed := 0
 	reloaded := time.Now()
+	ledAt := time.Now()
+	reported := ledAt
 	for ctx.Err() == nil {
+		if time.Since(ledAt) > noLeaderReport && time.Since(reported) > noLeaderReport {
+			reported = time.Now()
+			m.reportNoLeader(time.Since(ledAt))
+		}
 		target, b, err := m.sync(ctx, at)
 		if err != nil {
 			failed++
@@ -197,7 +204,9 @@
 		}
 		failed = 0
 		m.adopt(target, b)
-		if !b.Leads {
+		if b.Leads {
+			ledAt = time.Now()
+		} else {
 			at++
 			if m.target(at) != target && m.hasLeader() { // the response named the leader
 				pause.For(ctx, syncRetry)
@@ -209,6 +218,16 @@
 	return nil
 }
 
+// reportNoLeader logs that no leading control VM has responded for some time, and which control VMs are asked.
+func (m *member) reportNoLeader(age time.Duration) {
+	l := m.controls()
+	m.mu.RLock()
+	configured, leader := m.plan != nil, m.leader
+	m.mu.RUnlock()
+	m.n.Log.Warn("no leading control VM found", "asked", l, "named_leader", leader, "configured", configured,
+		"since", age.Round(time.Millisecond))
+}
+
 // interval returns the time between reports; it is short while this VM has a configuration but no list of upstreams.
 func (m *member) interval() time.Duration {
 	m.mu.RLock()
