replica, node: Find the control group when no seed is one of its voters

Cause: after such a loss the seeds are the only addresses that a VM without a disk knows. The voters know each other from their disks and elect a leader, but tell nobody; a control VM outside the group, or one whose disk is empty, has nothing to pass on. If no seed is a voter with its disk, no VM ever finds the group. Class of fault: discovery relied on the contacts being members.

Change: a leader announces itself every 500 ms to contacts that have no responsive replica in the group; a replica outside the group passes that leader on for 2 s. A control VM that does not lead names the control VMs that it knows in its bulletins, and uses the members on its own disk as contacts. Old builds answer an announcement as a hello, which is harmless.

Ruled out: making each control VM a learner (replicates every configuration to VMs that need only an address); writing the directory to the disks of all control VMs (useless on an emptied disk).

--- a/internal/command/node/control.go
+++ b/internal/command/node/control.go
@@ -64,6 +64,7 @@
 		Log:            n.Log,
 	})
 	c.replica = r
+	n.member.known = c.groupMembers
 	n.link.Receive(link.Consensus, func(from string, b []byte) { r.Receive(from, b) })
 	n.link.Handle(link.Propose, func(ctx context.Context, _ string, b []byte) ([]byte, error) {
 		return r.ProposeHere(ctx, group.Control, b)
@@ -76,6 +77,20 @@
 	return c, err
 }
 
+// groupMembers returns the addresses of the control group's members and of its leader, as far as this VM's replica knows them.
+func (c *control) groupMembers() []string {
+	var l []string
+	for _, s := range c.replica.Status() {
+		for _, m := range s.Configuration.Members() {
+			l = append(l, m.VM)
+		}
+	}
+	if v, _ := c.replica.Leader(group.Control); v != "" {
+		l = append(l, v)
+	}
+	return l
+}
+
 // groupTiming returns timeouts that detect a lost leader quickly. They may be short because the VMs of a region respond
 // within a few milliseconds.
 func groupTiming() consensus.Timing {
@@ -232,7 +247,7 @@
 }
 
 // sync returns a bulletin for the report of a VM. Unless this VM leads and has a roster, the bulletin has only what this VM
-// knows as a member, such as the leader's address, and Leads is not set.
+// knows as a member, such as the addresses of the leader and the other control VMs, and Leads is not set.
 func (c *control) sync(_ context.Context, _ string, b []byte) ([]byte, error) {
 	r, err := roster.DecodeReport(b)
 	if err != nil {
@@ -240,6 +255,7 @@
 	}
 	s := c.machine.State()
 	_, _, leads := c.replica.Lease(group.Control)
+	known := c.n.member.controls()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if leads && c.roster != nil {
@@ -249,7 +265,7 @@
 	m := c.n.member
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	x := roster.Bulletin{Leader: l, Version: s.Version, InitialMembers: s.InitialMembers, Leaving: s.Leaving, BatchLeader: m.batchLeader,
+	x := roster.Bulletin{Leader: l, Controls: known, Version: s.Version, InitialMembers: s.InitialMembers, Leaving: s.Leaving, BatchLeader: m.batchLeader,
 		BatchMembers: m.batchMembers}
 	if r.Version < s.Version {
 		x.Document = s.Document
--- a/internal/command/node/member.go
+++ b/internal/command/node/member.go
@@ -27,6 +27,7 @@
 	reloadInterval  = 2 * time.Second       // between reads of the settings file while no control VM responds
 	leaderAvoidTime = time.Second           // the leader is not called for this time after a failed call
 	shareInterval   = time.Second           // between requests for shares, for use while the owner of the limits is unresponsive
+	maxControls     = 64                    // addresses
 	noLeaderReport  = 2 * time.Second       // between log lines while no control VM is found that leads
 )
 
@@ -42,6 +43,7 @@
 	buckets          *share.Buckets          // nil except on entry VMs
 	report           func(*roster.Report)    // adds what the VM's class reports; may be nil
 	onList           func([]roster.Upstream) // called with each new list of upstreams; may be nil
+	known            func() []string         // addresses of control VMs that this VM knows by other means; may be nil
 	sharesReportedAt time.Time               // used by the reporting goroutine only, without mu
 
 	mu             sync.RWMutex
@@ -57,6 +59,7 @@
 	batchLeader    string
 	batchMembers   []string
 	seeds          []string             // link addresses of control VMs
+	named          []string             // link addresses of control VMs that one which does not lead has named
 	leader         string               // link address; "" when none is known
 	failedAt       map[string]time.Time // last failed call, by link address
 }
@@ -151,11 +154,18 @@
 	return m.leader
 }
 
-// controls returns the addresses of the known control VMs and the seeds.
+// controls returns the addresses of the known control VMs, at most maxControls, and the seeds.
 func (m *member) controls() []string {
 	l := m.addresses(roster.Control)
+	if m.known != nil {
+		l = append(l, m.known()...)
+	}
 	m.mu.RLock()
 	defer m.mu.RUnlock()
+	l = append(l, m.named...)
+	slices.Sort(l)
+	l = slices.Compact(l)
+	l = l[:min(len(l), maxControls)]
 	for _, s := range m.seeds {
 		if !slices.Contains(l, s) {
 			l = append(l, s)
@@ -373,8 +383,10 @@
 			m.n.Log.Info("control VM leads", "peer", from, "version", b.Version)
 		}
 		m.leader, m.confirmedAt = from, now
+		m.named = nil
 	} else {
 		m.leader = b.Leader
+		m.named = b.Controls
 	}
 	m.initialMembers, m.leaving = b.InitialMembers, b.Leaving
 	if b.BatchLeader != "" || b.Leads {
--- a/internal/coordination/replica/envelope.go
+++ b/internal/coordination/replica/envelope.go
@@ -12,13 +12,14 @@
 const envelopeFlushBytes = 1 << 20
 
 // hello is sent by a replica that is blank or has no leader, to find the members of a group, and is also the response
-// to such a request.
+// to such a request. A leader sends it unasked, as an announcement, to contacts outside the group.
 type hello struct {
-	Group      uint32
-	ID         uint64 // of the sender
-	ResponseTo uint64 // replica ID of the requester; 0 in a request
-	HasState   bool   // the sender is not blank: it has taken part in the group
-	Leader     string // VM of the leader; empty if the sender knows none
+	Group        uint32
+	ID           uint64 // of the sender
+	ResponseTo   uint64 // replica ID of the requester; 0 in a request or an announcement
+	HasState     bool   // the sender is not blank: it has taken part in the group
+	Leader       string // VM of the leader; empty if the sender knows none
+	Announcement bool   // expects no response
 }
 
 // groupMessage is a consensus message together with its group.
@@ -48,6 +49,7 @@
 		e.Uint(3, h.ResponseTo)
 		e.Bool(4, h.HasState)
 		e.Text(5, h.Leader)
+		e.Bool(6, h.Announcement)
 	})
 }
 
@@ -100,6 +102,8 @@
 			h.HasState = d.Bool()
 		case 5:
 			h.Leader = d.Text()
+		case 6:
+			h.Announcement = d.Bool()
 		}
 	}
 	return h, d.Err()
--- a/internal/coordination/replica/formation.go
+++ b/internal/coordination/replica/formation.go
@@ -13,6 +13,8 @@
 	joiningExpiry     = 2 * time.Second // a replica that sent no hello for this long is down or has a leader
 	deadLearnerFactor = 4               // times Growth.DeadAfter; an unresponsive learner does not weaken the quorum
 	noLeaderTimeout   = 2 * time.Second // a replica without a leader for this long may have been removed from the group
+	announceInterval  = 500 * time.Millisecond
+	leaderHintExpiry  = 4 * announceInterval
 )
 
 // joiningReplica is a replica that is blank or has no leader and sends hellos. Its VM may be in the group with another
@@ -46,12 +48,35 @@
 	}
 }
 
+// announce tells the contacts that have no responsive replica in the group that this replica leads. After a restart of all
+// VMs they may know no member, and only members know the others' addresses from their disks.
+func (r *Replica) announce(now time.Time, m *groupReplica) {
+	if r.d.Contacts == nil || now.Sub(m.announcedAt) < announceInterval {
+		return
+	}
+	m.announcedAt = now
+	responsive := map[string]bool{r.d.VM: true}
+	for _, x := range m.core.Configuration().Members() {
+		if m.core.UnresponsiveFor(now, x.ID) < announceInterval {
+			responsive[x.VM] = true
+		}
+	}
+	for _, v := range r.contacts(m) {
+		if !responsive[v] {
+			r.outbox.hello(v, hello{Group: m.group, ID: r.id, HasState: true, Leader: r.d.VM, Announcement: true})
+		}
+	}
+}
+
 // contacts returns the VMs that a replica without a leader sends hellos to.
 func (r *Replica) contacts(m *groupReplica) []string {
 	if r.d.Contacts == nil {
 		return r.d.InitialMembers
 	}
 	l := slices.Concat(r.d.InitialMembers, r.d.Contacts())
+	for _, x := range m.core.Configuration().Members() {
+		l = append(l, x.VM)
+	}
 	if m.leaderHint != "" {
 		l = append(l, m.leaderHint)
 	}
@@ -89,6 +114,10 @@
 // onHello responds to a request, which the leader also records as a joining replica, or records a response to a request
 // of this replica. Responses to an earlier replica of this VM are ignored.
 func (r *Replica) onHello(now time.Time, m *groupReplica, from string, h hello) {
+	if h.Announcement {
+		m.leaderHint, m.leaderHintAt = h.Leader, now
+		return
+	}
 	if h.ResponseTo == 0 {
 		if m.core.Role() == consensus.Leader {
 			m.joining[from] = joiningReplica{id: h.ID, helloAt: now}
@@ -100,7 +129,7 @@
 		return
 	}
 	if h.Leader != "" {
-		m.leaderHint = h.Leader
+		m.leaderHint, m.leaderHintAt = h.Leader, now
 	}
 	if h.HasState {
 		delete(m.blankPeers, from)
--- a/internal/coordination/replica/loop.go
+++ b/internal/coordination/replica/loop.go
@@ -74,6 +74,7 @@
 		}
 		if m.core.Role() == consensus.Leader {
 			r.adjustMembership(now, m)
+			r.announce(now, m)
 		} else {
 			clear(m.joining) // hellos received in an earlier term may be outdated
 		}
--- a/internal/coordination/replica/member.go
+++ b/internal/coordination/replica/member.go
@@ -42,7 +42,9 @@
 	indexedBarriers      []indexedBarrier            // oldest first
 	blankPeers           map[string]uint64           // replica IDs of the initial members that responded as blank, by VM
 	joining              map[string]joiningReplica   // by VM; only on the leader
-	leaderHint           string                      // leader's VM according to the newest hello response that names one
+	leaderHint           string                      // leader's VM according to the newest hello that names one
+	leaderHintAt         time.Time                   // when that hello was received
+	announcedAt          time.Time                   // when announcements were last sent; only on the leader
 }
 
 // openProposal is a command that this replica has appended as leader and not applied yet.
--- a/internal/coordination/replica/status.go
+++ b/internal/coordination/replica/status.go
@@ -10,6 +10,7 @@
 type Status struct {
 	Group         uint32
 	Leader        consensus.Member // zero when none is known
+	LeaderHint    string           // VM that leads according to others; only where Leader is zero, and empty when none is known
 	Term          uint64
 	Leads         bool      // this replica is the leader
 	Lease         time.Time // time by this VM's clock until which no other replica can lead; zero without a lease
@@ -20,10 +21,13 @@
 	Configuration consensus.Configuration
 }
 
-// Leader returns the VM of a group's leader and its term, the newest that this replica knows. The VM is empty if no
-// leader of that term is known.
+// Leader returns the VM of a group's leader and its term, the newest that this replica knows. A replica that has no leader
+// returns the VM that others have named within leaderHintExpiry, or "".
 func (r *Replica) Leader(group uint32) (vm string, term uint64) {
 	s := r.statusOf(group)
+	if s.Leader.VM == "" {
+		return s.LeaderHint, s.Term
+	}
 	return s.Leader.VM, s.Term
 }
 
@@ -89,6 +93,9 @@
 	if u, ok := c.Lease(now); ok {
 		s.Lease = u
 	}
+	if s.Leader.VM == "" && now.Sub(m.leaderHintAt) < leaderHintExpiry {
+		s.LeaderHint = m.leaderHint
+	}
 	if o := m.status.Load(); o == nil || o.Leader != s.Leader || o.Term != s.Term {
 		r.d.Log.Info("leader", "group", m.group, "leader", s.Leader.VM, "term", s.Term)
 	}
--- a/internal/coordination/roster/types.go
+++ b/internal/coordination/roster/types.go
@@ -64,6 +64,7 @@
 	Shares         map[string]float64 // that change, by account
 	BatchLeader    string             // address
 	BatchMembers   []string           // addresses
+	Controls       []string           // addresses of control VMs, where the sender does not lead
 }
 
 // EncodeReport returns the wire form of a report.
@@ -134,6 +135,7 @@
 	encodeFloats(e, 12, b.Shares)
 	e.Text(13, b.BatchLeader)
 	e.Texts(14, b.BatchMembers)
+	e.Texts(15, b.Controls)
 	return e.Encoded()
 }
 
@@ -171,6 +173,8 @@
 			b.BatchLeader = d.Text()
 		case 14:
 			b.BatchMembers = append(b.BatchMembers, d.Text())
+		case 15:
+			b.Controls = append(b.Controls, d.Text())
 		}
 	}
 	return b, d.Err()
