replica, node: Report a member as gone once its removal is committed

What callers would see: LOST. An operator who is told that a batch VM has left stops it; if two others lose their disks right after, no job can be read any more.

Cause: the batch leader reported the members of the configuration in its log, which may not be committed. Until it is, the followers count six voters, need four and after the stop and the two losses are three.

Change: Status has the newest committed configuration beside the one in force, and the leader reports the members of that one.

--- a/internal/command/node/batch.go
+++ b/internal/command/node/batch.go
@@ -137,14 +137,15 @@
 	return err
 }
 
-// report adds the group's members to a report while this VM leads the group.
+// report adds the group's members to a report while this VM leads the group. A VM whose removal is not committed is still
+// one of them: the group may need it after the next failure.
 func (b *batch) report(p *roster.Report) {
 	if !b.holdsLease() {
 		return
 	}
 	p.Leads = true
 	for _, s := range b.replica.Load().Status() {
-		for _, m := range s.Configuration.Members() {
+		for _, m := range s.Committed.Members() {
 			p.Members = append(p.Members, m.VM)
 		}
 	}
--- a/internal/coordination/replica/growth_test.go
+++ b/internal/coordination/replica/growth_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -9,6 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"snipetack/internal/coordination/consensus"
 	"snipetack/internal/coordination/replica"
 )
 
@@ -112,3 +114,51 @@
 		})
 	}
 }
+
+// TestGroupSurvivesLossesAfterAMemberHasLeft stops a leaving VM as soon as the committed configuration lacks it; at the same
+// moment the leader and another voter lose their disks and the others lose power.
+func TestGroupSurvivesLossesAfterAMemberHasLeft(t *testing.T) {
+	for i := range 4 {
+		t.Run(fmt.Sprint(i), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var leaving atomic.Pointer[[]string]
+				leaving.Store(&[]string{})
+				c := newCluster(t, 1, 5, smallLimits())
+				c.initialMembers, c.delay = 5, 20*time.Millisecond
+				c.grow = func(*node) *replica.Growth {
+					return &replica.Growth{MaxVoters: 5, DeadAfter: 1500 * time.Millisecond, MinVoters: 5,
+						Leaving: func() []string { return *leaving.Load() }}
+				}
+				c.start()
+				defer c.close()
+				c.add("vm-new")
+				c.propose(1, "first")
+				leader := c.leader(1)
+				l := c.names[:5]
+				l = slices.DeleteFunc(slices.Clone(l), func(v string) bool { return v == leader.vm })
+				leaver, second := l[i], l[(i+1)%4]
+				leaving.Store(&[]string{leaver})
+				for member := true; member; {
+					time.Sleep(time.Millisecond)
+					member = slices.ContainsFunc(leader.replica.Status()[1].Committed.Members(), func(m consensus.Member) bool {
+						return m.VM == leaver
+					})
+				}
+				for _, v := range c.names {
+					c.nodes[v].kill()
+				}
+				time.Sleep(time.Second) // frames in flight are lost
+				for _, v := range c.names {
+					if v == leader.vm || v == second {
+						c.nodes[v].disk.Wipe()
+					}
+					if v != leaver {
+						c.nodes[v].start()
+					}
+				}
+				c.propose(1, "second")
+				require.Equal(t, []string{"first", "second"}, c.leader(1).machines[1].list())
+			})
+		})
+	}
+}
--- a/internal/coordination/replica/status.go
+++ b/internal/coordination/replica/status.go
@@ -12,13 +12,14 @@
 	Leader        consensus.Member // zero when none is known
 	LeaderHint    string           // VM that leads according to others; only where Leader is zero, and empty when none is known
 	Term          uint64
-	Leads         bool      // this replica is the leader
-	Lease         time.Time // time by this VM's clock until which no other replica can lead; zero without a lease
-	Last          uint64    // index of the last entry
-	Commit        uint64    // index up to which entries are known to be committed
-	Applied       uint64    // index up to which entries are applied
-	Snapshot      uint64    // index of the newest snapshot; 0 for none
-	Configuration consensus.Configuration
+	Leads         bool                    // this replica is the leader
+	Lease         time.Time               // time by this VM's clock until which no other replica can lead; zero without a lease
+	Last          uint64                  // index of the last entry
+	Commit        uint64                  // index up to which entries are known to be committed
+	Applied       uint64                  // index up to which entries are applied
+	Snapshot      uint64                  // index of the newest snapshot; 0 for none
+	Configuration consensus.Configuration // in force; a newer leader may still replace it
+	Committed     consensus.Configuration // the newest that is known to be committed
 }
 
 // Leader returns the VM of a group's leader and its term, the newest that this replica knows. A replica that has no leader
@@ -89,6 +90,7 @@
 		Applied:       m.applied,
 		Snapshot:      c.Snapshot().Index,
 		Configuration: c.Configuration(),
+		Committed:     c.ConfigurationAt(c.Commit()),
 	}
 	if u, ok := c.Lease(now); ok {
 		s.Lease = u
