upstream: Wait for the close of the second connection in TestAttemptsAreNotRetried

Cause: a race in the test, not in the client. Its server closes each connection after the first response. If the second attempt finds the first connection closed already, it uses a new one, and the server closes that one while the third attempt starts. The third attempt then is itself one on a connection that closes while idle, unnoticed.

No check is weaker: the third attempt must still succeed on a new connection, and each attempt is still sent at most once.

--- a/internal/transport/upstream/client_test.go
+++ b/internal/transport/upstream/client_test.go
@@ -82,6 +82,7 @@
 		require.NotEqual(t, result.NotRun, result.Of(err).Ran, "%v", err)
 	}
 	require.LessOrEqual(t, seen.Load(), int32(2), "the attempt was repeated")
+	time.Sleep(10 * time.Millisecond) // the second attempt's connection may be closing, too
 	r, err = c.Do(context.Background(), a)
 	require.NoError(t, err, "a new connection works")
 	r.Body.Close()
