httpconn: Bound what is read before a response

What callers saw or would see: an upstream in trouble that sends bytes without end where a response is due took the memory of an entry or batch VM (184 and 284 MB in all), so the VM ended with all its requests; interim responses without end, or a response to an earlier request whose body does not end, held the call until its deadline.

Cause: http.ReadResponse has no bound on the length of a line or of a head; receive skipped 1xx responses in an unbounded loop and discarded bodies with an unbounded io.Copy.

Change: all heads read for one request share 64 KiB, at most 32 interim responses and responses to earlier requests are skipped, a head has 5 s from its first byte, and the bodies that are discarded have 1 MiB together and 1 s each. Beyond a bound, or if the bytes are no HTTP, the call fails with the new BadResponse and the connection is closed. The wait for the first byte and the body of the response itself are bounded by the context alone, as before, so a late or long response is not cut.

Evidence: TestResponseWithoutEndEndsTheCall failed before in 17 of 20 cases, each only at the deadline of 30 s and after as many bytes as the test sends ("after 30s and 8388608 bytes sent"); chunk extensions and trailers passed, net/http bounds them. All 20 pass now. TestSoundResponsesStayWithinTheBounds passed before, too.

Ruled out: net/http's Transport, which bounds heads but repeats requests by itself; a bound on the whole response, which would cut long bodies.

--- a/internal/transport/httpconn/pool.go
+++ b/internal/transport/httpconn/pool.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -28,6 +29,15 @@
 	maxIdlePerAddress    = 64
 )
 
+// Bounds of what is read for one request before its response.
+const (
+	maxHeadBytes    = 64 << 10        // of all heads together: of interim responses, of those to earlier requests and of the response
+	maxSkipped      = 32              // interim responses and responses to earlier requests
+	headTimeout     = 5 * time.Second // from the first byte of a head to its end
+	maxDiscardBytes = 1 << 20         // of the bodies of responses to earlier requests
+	discardTimeout  = time.Second     // for reading one of these bodies
+)
+
 // NotSent reports that no byte of the request has left this VM, so that it can safely be sent to another upstream.
 type NotSent struct {
 	Cause error
@@ -39,6 +49,17 @@
 // Unwrap returns the cause.
 func (n NotSent) Unwrap() error { return n.Cause }
 
+// BadResponse reports that the upstream sent bytes that are no HTTP response, or one beyond the bounds of this package.
+type BadResponse struct {
+	Cause error
+}
+
+// Error returns the cause.
+func (b BadResponse) Error() string { return b.Cause.Error() }
+
+// Unwrap returns the cause.
+func (b BadResponse) Unwrap() error { return b.Cause }
+
 // Pool holds idle connections to upstreams; it is safe for concurrent use.
 type Pool struct {
 	network network.Network
@@ -51,9 +72,10 @@
 type conn struct {
 	net.Conn
 	address       string
-	r             *bufio.Reader
-	reusableUntil time.Time // it is not used for a request that starts later
-	fresh         bool      // has not served a request yet
+	in            *source
+	r             *bufio.Reader // reads from in
+	reusableUntil time.Time     // it is not used for a request that starts later
+	fresh         bool          // has not served a request yet
 }
 
 // New returns an empty Pool.
@@ -66,7 +88,8 @@
 //
 // Responses for which matches returns false belong to earlier requests on the connection and are discarded. The
 // connection is closed when ctx ends or when the response's body is closed before its end. After a failure that is not
-// NotSent it is unknown whether the request has arrived.
+// NotSent it is unknown whether the request has arrived; if the upstream sent bytes that are no response to it, the failure
+// is a BadResponse.
 func (p *Pool) Do(ctx context.Context, address string, r *http.Request, body []byte, matches func(*http.Response) bool) (*http.Response, error) {
 	c, err := p.get(ctx, address)
 	if err != nil {
@@ -131,7 +154,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: n, address: address, r: bufio.NewReaderSize(n, bufferBytes), fresh: true}, nil
+	s := &source{Conn: n, left: unlimited}
+	return &conn{Conn: n, address: address, in: s, r: bufio.NewReaderSize(s, bufferBytes), fresh: true}, nil
 }
 
 // take removes the connection that was used last from the idle ones and returns it; nil if there is none.
@@ -210,10 +234,12 @@
 	return done
 }
 
-// receive reads the header of the response and discards interim responses (1xx) and those to earlier requests.
+// receive reads the header of the response and discards interim responses (1xx) and those to earlier requests. Bytes that
+// are no response, or more than the bounds allow, are a BadResponse.
 func (c *conn) receive(r *http.Request, matches func(*http.Response) bool) (*http.Response, error) {
-	for {
-		a, err := http.ReadResponse(c.r, r)
+	headBytes, discardBytes := int64(maxHeadBytes), int64(maxDiscardBytes)
+	for range maxSkipped + 1 {
+		a, err := c.readHead(r, &headBytes)
 		if err != nil {
 			return nil, err
 		}
@@ -223,10 +249,80 @@
 		if matches(a) {
 			return a, nil
 		}
-		if _, err := io.Copy(io.Discard, a.Body); err != nil {
+		if err := c.discard(a.Body, &discardBytes); err != nil {
 			return nil, errors.Wrap(err, "discarding the response to an earlier request")
 		}
 	}
+	return nil, BadResponse{errors.Errorf("more than %d interim responses and responses to earlier requests", maxSkipped)}
+}
+
+// readHead reads one head and reduces left by the bytes that it took from the connection. The wait for its first byte is
+// bounded only by the request's context.
+func (c *conn) readHead(r *http.Request, left *int64) (*http.Response, error) {
+	c.in.left = *left
+	defer func() { *left, c.in.left = c.in.left, unlimited }()
+	if _, err := c.r.Peek(1); err == nil {
+		_ = c.SetReadDeadline(time.Now().Add(headTimeout))
+	}
+	a, err := http.ReadResponse(c.r, r)
+	switch {
+	case err == nil:
+		_ = c.SetReadDeadline(time.Time{})
+		return a, nil
+	case errors.Is(c.in.err, errLimit):
+		return nil, BadResponse{errors.Errorf("the head exceeds %d bytes", maxHeadBytes)}
+	case errors.Is(c.in.err, os.ErrDeadlineExceeded):
+		return nil, BadResponse{errors.Errorf("the head is not complete after %s", headTimeout)}
+	case c.in.err == nil:
+		return nil, BadResponse{err}
+	}
+	return nil, err
+}
+
+// discard reads a body to its end and reduces left by its length.
+func (c *conn) discard(body io.Reader, left *int64) error {
+	_ = c.SetReadDeadline(time.Now().Add(discardTimeout))
+	n, err := io.Copy(io.Discard, io.LimitReader(body, *left+1))
+	*left -= n
+	switch {
+	case *left < 0:
+		return BadResponse{errors.Errorf("the bodies exceed %d bytes", maxDiscardBytes)}
+	case errors.Is(c.in.err, os.ErrDeadlineExceeded):
+		return BadResponse{errors.Errorf("the body is not complete after %s", discardTimeout)}
+	case err != nil:
+		return err
+	}
+	return c.SetReadDeadline(time.Time{})
+}
+
+// unlimited is the number of bytes left of a source without a limit.
+const unlimited = -1
+
+// errLimit is the error of reads beyond the limit of a source.
+var errLimit = errors.New("more bytes than allowed")
+
+// source reads from a connection, at most left bytes unless that is unlimited.
+type source struct {
+	net.Conn
+	left int64
+	err  error // of the last read
+}
+
+// Read reads from the connection; beyond the limit it returns errLimit.
+func (s *source) Read(b []byte) (int, error) {
+	if s.left == 0 {
+		s.err = errLimit
+		return 0, s.err
+	}
+	if s.left > 0 {
+		b = b[:min(int64(len(b)), s.left)]
+	}
+	n, err := s.Conn.Read(b)
+	if s.left > 0 {
+		s.left -= int64(n)
+	}
+	s.err = err
+	return n, err
 }
 
 // keepAlive returns for how long a connection may be idle and still be reused: the timeout of the response's Keep-Alive
--- a/internal/transport/httpconn/pool_test.go
+++ b/internal/transport/httpconn/pool_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/url"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -201,3 +202,150 @@
 		<-closed
 	})
 }
+
+// endless sends a response that never ends, until the connection is closed.
+type endless struct {
+	start, repeat string        // sent once, and then again and again
+	pause         time.Duration // between the repetitions
+	sent          atomic.Int64  // bytes
+	closed        atomic.Bool   // by the caller
+}
+
+// maxEndless is how many bytes an endless response sends before it stalls.
+const maxEndless = 8 << 20
+
+func (e *endless) respond(c net.Conn, _ int) bool {
+	b := []byte(e.start)
+	for e.sent.Load() < maxEndless {
+		n, err := c.Write(b)
+		e.sent.Add(int64(n))
+		if err != nil {
+			e.closed.Store(true)
+			return false
+		}
+		time.Sleep(e.pause)
+		if b = []byte(e.repeat); len(b) == 0 {
+			break
+		}
+	}
+	_, err := c.Read(make([]byte, 1))
+	e.closed.Store(err != nil)
+	return false
+}
+
+// TestResponseWithoutEndEndsTheCall sends bytes without end in each part of a response: the call must end long before its
+// deadline, with a BadResponse if it has no response yet, and the connection must be closed.
+func TestResponseWithoutEndEndsTheCall(t *testing.T) {
+	const ok = "HTTP/1.1 200 OK\r\nId: x\r\n"
+	const other = "HTTP/1.1 200 OK\r\nId: y\r\n"
+	const slow = 100 * time.Millisecond
+	block := strings.Repeat("x", 32<<10)
+	table := map[string]struct {
+		e        *endless
+		response bool // the call has its response, and the body fails
+	}{
+		"garbage without a line end":              {e: &endless{repeat: block}},
+		"header line without end":                 {e: &endless{start: ok + "A: ", repeat: block}},
+		"continued header line without end":       {e: &endless{start: ok + "A: b", repeat: "\r\n " + block}},
+		"header lines without end":                {e: &endless{start: ok, repeat: strings.Repeat("A: b\r\n", 4<<10)}},
+		"interim responses without end":           {e: &endless{repeat: strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", 1<<10)}},
+		"header lines of interim without end":     {e: &endless{repeat: "HTTP/1.1 103 Early Hints\r\nLink: " + block + "\r\n\r\n"}},
+		"discarded body without end":              {e: &endless{start: other + "\r\n", repeat: block}},
+		"discarded chunks without end":            {e: &endless{start: other + "Transfer-Encoding: chunked\r\n\r\n", repeat: "8000\r\n" + block + "\r\n"}},
+		"discarded responses without end":         {e: &endless{repeat: other + "Content-Length: 32768\r\n\r\n" + block}},
+		"empty discarded responses without end":   {e: &endless{repeat: other + "Content-Length: 0\r\n\r\n"}},
+		"chunk extension without end":             {e: &endless{start: ok + "Transfer-Encoding: chunked\r\n\r\n2;", repeat: block}, response: true},
+		"chunk extensions without end":            {e: &endless{start: ok + "Transfer-Encoding: chunked\r\n\r\n", repeat: "1;" + block[:2000] + "\r\nx\r\n"}, response: true},
+		"trailer without end":                     {e: &endless{start: ok + "Transfer-Encoding: chunked\r\n\r\n0\r\nA: ", repeat: block}, response: true},
+		"slow garbage without a line end":         {e: &endless{repeat: "x", pause: slow}},
+		"slow header lines without end":           {e: &endless{start: ok, repeat: "A: b\r\n", pause: slow}},
+		"slow interim responses without end":      {e: &endless{repeat: "HTTP/1.1 102 Processing\r\n\r\n", pause: slow}},
+		"slow discarded body without end":         {e: &endless{start: other + "\r\n", repeat: "x", pause: slow}},
+		"slow discarded responses without end":    {e: &endless{repeat: other + "Content-Length: 0\r\n\r\n", pause: slow}},
+		"head that stops midway":                  {e: &endless{start: ok}},
+		"body that stops midway, to be discarded": {e: &endless{start: other + "Content-Length: 10\r\n\r\nx"}},
+	}
+	for name, x := range table {
+		t.Run(name, func(t *testing.T) {
+			e := x.e
+			u := &upstream{respond: e.respond}
+			var sendErr, readErr error
+			var took time.Duration
+			var sent int64
+			var idle bool
+			withUpstream(t, u, func(p *httpconn.Pool, _ *fakenet.Net) {
+				ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+				defer cancel()
+				began := time.Now()
+				var a *http.Response
+				a, sendErr = p.Do(ctx, address, get(), nil, func(a *http.Response) bool { return a.Header.Get("Id") == "x" })
+				if sendErr == nil {
+					_, readErr = io.Copy(io.Discard, a.Body)
+					_ = a.Body.Close()
+				}
+				took, sent, idle = time.Since(began), e.sent.Load(), p.Idle(address)
+				time.Sleep(2 * time.Hour)
+			})
+			if x.response {
+				require.NoError(t, sendErr)
+				require.Error(t, readErr)
+			} else {
+				require.ErrorAs(t, sendErr, &httpconn.BadResponse{}, "after %s and %d bytes sent", took, sent)
+				require.NotErrorAs(t, sendErr, &httpconn.NotSent{})
+			}
+			require.Less(t, took, 10*time.Second)
+			require.Less(t, sent, int64(2<<20), "bytes sent before the connection was closed")
+			require.True(t, e.closed.Load())
+			require.False(t, idle)
+			require.Equal(t, 1, u.requests, "the request was sent again")
+		})
+	}
+}
+
+// get returns a request.
+func get() *http.Request {
+	return &http.Request{Method: http.MethodGet, URL: &url.URL{Path: "/"}, Host: "h", Header: http.Header{}}
+}
+
+// TestSoundResponsesStayWithinTheBounds checks that the bounds end no sound response.
+func TestSoundResponsesStayWithinTheBounds(t *testing.T) {
+	long := strings.Repeat("x", 2<<20)
+	table := map[string]struct {
+		parts []string
+		pause time.Duration // before each part
+		body  int           // bytes
+	}{
+		"late head":                  {parts: []string{okResponse("x")}, pause: 20 * time.Second, body: 2},
+		"long header":                {parts: []string{"HTTP/1.1 200 OK\r\nId: x\r\nContent-Length: 2\r\nA: " + long[:48<<10] + "\r\n\r\nok"}, body: 2},
+		"late head after an interim": {parts: []string{"HTTP/1.1 100 Continue\r\n\r\n", okResponse("x")}, pause: 10 * time.Second, body: 2},
+		"many interim responses":     {parts: []string{strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 20), okResponse("x")}, body: 2},
+		"long body without a length": {parts: []string{"HTTP/1.1 200 OK\r\nId: x\r\n\r\n" + long}, body: len(long)},
+		"long body with a length":    {parts: []string{fmt.Sprintf("HTTP/1.1 200 OK\r\nId: x\r\nContent-Length: %d\r\n\r\n%s", len(long), long)}, body: len(long)},
+		"slow body":                  {parts: []string{"HTTP/1.1 200 OK\r\nId: x\r\nContent-Length: 3\r\n\r\n", "a", "b", "c"}, pause: 7 * time.Second, body: 3},
+		"long response to be discarded": {parts: []string{
+			fmt.Sprintf("HTTP/1.1 200 OK\r\nId: y\r\nContent-Length: %d\r\n\r\n%s", 256<<10, long[:256<<10]), okResponse("x")}, pause: 5 * time.Second, body: 2},
+	}
+	for name, x := range table {
+		t.Run(name, func(t *testing.T) {
+			u := &upstream{respond: func(c net.Conn, n int) bool {
+				for _, s := range x.parts {
+					time.Sleep(x.pause)
+					write("%s", s)(c, n)
+				}
+				return false
+			}}
+			var b []byte
+			var err error
+			withUpstream(t, u, func(p *httpconn.Pool, _ *fakenet.Net) {
+				var a *http.Response
+				a, err = p.Do(context.Background(), address, get(), nil, func(a *http.Response) bool { return a.Header.Get("Id") == "x" })
+				if err == nil {
+					b, err = io.ReadAll(a.Body)
+					_ = a.Body.Close()
+				}
+			})
+			require.NoError(t, err)
+			require.Len(t, b, x.body)
+		})
+	}
+}
