relay: Bound an event of a stream

What callers saw or would see: an upstream in trouble that sends an event without end grows the memory of the entry VM until it ends, as each such stream keeps all its bytes; sent slowly, the event holds the caller until its deadline while nothing is relayed.

Cause: Events keeps the bytes of an incomplete event without a bound, and the gap timer was reset by any byte, also by those that complete no event.

Change: an event has at most 256 KiB; a stream with a longer one is resumed at another upstream. Only a completed event resets the gap timer: its limit is the pause that the caller sees.

Ruled out: a bound on the bytes of a stream, which would cut long ones.

--- a/internal/transport/relay/relay_test.go
+++ b/internal/transport/relay/relay_test.go
@@ -34,12 +34,18 @@
 	notRun bool
 	other  bool
 	plain  bool // without the upstream's signature
+
+	endless string        // repeated after the text, up to maxEndless bytes
+	pause   time.Duration // before each repetition
 }
 
+const maxEndless = 8 << 20
+
 // upstreams apply the reactions to the requests in order; the last one repeats.
 type upstreams struct {
 	reactions []reaction
 	sent      []relay.Sending
+	endless   int // bytes of endless responses that were read
 }
 
 func (u *upstreams) Send(ctx context.Context, _ *relay.Request, s relay.Sending) (*relay.Response, error) {
@@ -58,6 +64,9 @@
 		a.Status = r.status
 	}
 	a.Body = &body{ctx: ctx, text: strings.NewReader(r.body), end: r.end, stall: r.stall}
+	if r.endless != "" {
+		a.Body = &endlessBody{body: body{ctx: ctx, text: strings.NewReader(r.body), stall: true}, r: r, read: &u.endless}
+	}
 	return a, nil
 }
 
@@ -86,6 +95,27 @@
 
 func (b *body) Close() error { return nil }
 
+// endlessBody yields a text and then another one again and again.
+type endlessBody struct {
+	body
+	r    reaction
+	read *int // bytes of the repetitions
+}
+
+func (b *endlessBody) Read(x []byte) (int, error) {
+	if b.text.Len() > 0 || *b.read >= maxEndless {
+		return b.body.Read(x)
+	}
+	select {
+	case <-time.After(b.r.pause):
+	case <-b.ctx.Done():
+		return 0, b.ctx.Err()
+	}
+	n := copy(x, b.r.endless)
+	*b.read += n
+	return n, nil
+}
+
 // caller is a Sink that records what a caller receives.
 type caller struct {
 	status  int
@@ -276,6 +306,36 @@
 	}
 }
 
+// TestEventWithoutEndIsNotBuffered checks that a stream whose event never ends is resumed at another upstream, as soon as one
+// that is idle, and that the event takes a bounded amount of memory.
+func TestEventWithoutEndIsNotBuffered(t *testing.T) {
+	table := map[string]reaction{
+		"garbage without a line end": {endless: strings.Repeat("x", 16<<10)},
+		"line without end":           {body: "id: 3\ndata: ", endless: strings.Repeat("x", 16<<10)},
+		"lines without end":          {body: "id: 3\n", endless: strings.Repeat("data: x\n", 1<<10)},
+		"slow line without end":      {body: "id: 3\ndata: ", endless: "x", pause: 50 * time.Millisecond},
+	}
+	for name, r := range table {
+		t.Run(name, func(t *testing.T) {
+			r.body = events(1, 2) + r.body
+			u := &upstreams{reactions: []reaction{r, {body: events(3, 5)}}}
+			got := serve(t, newPlan(plan.Stream, 2, true), u, nil)
+			require.Less(t, u.endless, 1<<20)
+			require.Less(t, got.took, 700*time.Millisecond)
+			require.Len(t, u.sent, 2)
+			require.NotEqual(t, u.sent[0].Upstream, u.sent[1].Upstream)
+			require.Equal(t, events(1, 5), got.body.String())
+		})
+	}
+}
+
+// TestLongEventIsRelayed sends an event that comes in many reads.
+func TestLongEventIsRelayed(t *testing.T) {
+	text := "id: 1\ndata: " + strings.Repeat("x", 200<<10) + "\n\n"
+	got := serve(t, newPlan(plan.Stream, 2, true), &upstreams{reactions: []reaction{{body: text}}}, nil)
+	require.Equal(t, text, got.body.String())
+}
+
 func TestResumedStreamKeepsTheFirstHeader(t *testing.T) {
 	u := &upstreams{reactions: []reaction{{body: events(1, 2), stall: true}, {body: events(3, 5)}}}
 	got := serve(t, newPlan(plan.Stream, 2, true), u, nil)
--- a/internal/transport/relay/stream.go
+++ b/internal/transport/relay/stream.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"snipetack/internal/coordination/dispatch"
 )
 
@@ -16,6 +18,9 @@
 	minGapTimeout      = 150 * time.Millisecond // lower bound for routes with a small GapLimit
 )
 
+// maxEventBytes is the maximum size of an event of a stream.
+const maxEventBytes = 256 << 10
+
 // relayStream sends the events of a stream to the caller, each once and in order.
 func (x *exchange) relayStream(ctx context.Context, cancel context.CancelFunc, c dispatch.Choice, a *Response) verdict {
 	if !a.Signed {
@@ -31,12 +36,15 @@
 	for {
 		n, err := a.Body.Read(b)
 		if n > 0 {
-			w.reset()
 			g.record(time.Now())
 			x.r.d.Pool.Responded(time.Now(), c.ID)
-			if v, ok := x.relayEvents(a, e, b[:n]); !ok {
+			incomplete := e.Rest()
+			if v, ok := x.relayEvents(c, a, e, b[:n]); !ok {
 				return v
 			}
+			if e.Rest() < incomplete+n { // bytes of an event that does not end are no progress
+				w.reset()
+			}
 		}
 		if err == io.EOF && e.Rest() == 0 {
 			return x.finish(a)
@@ -76,7 +84,7 @@
 
 // relayEvents adds bytes to e and sends the events that they complete to the caller; it returns false with a verdict when
 // the stream can't continue.
-func (x *exchange) relayEvents(a *Response, e *Events, b []byte) (verdict, bool) {
+func (x *exchange) relayEvents(c dispatch.Choice, a *Response, e *Events, b []byte) (verdict, bool) {
 	out, err := e.Add(b)
 	if len(out) > 0 {
 		if !x.headerSent {
@@ -93,6 +101,10 @@
 		}
 		x.lastEvent = e.Last()
 	}
+	if errors.Is(err, errEventSize) {
+		x.exclude = append(x.exclude, c.ID)
+		x.r.d.Pool.RecordErrorResponse(time.Now(), c.ID)
+	}
 	if err != nil {
 		x.reason = err.Error()
 		return broken, false
@@ -191,8 +203,11 @@
 // Last returns the id of the last complete event.
 func (e *Events) Last() uint64 { return e.last }
 
-// Add appends bytes and returns the events that they complete. When an id is not the expected one, it returns the events
-// before it and an error.
+// errEventSize reports an event that exceeds maxEventBytes.
+var errEventSize = errors.Errorf("an event exceeds %d bytes", maxEventBytes)
+
+// Add appends bytes and returns the events that they complete. When an id is not the expected one or an event exceeds
+// 256 KiB, it returns the events before it and an error.
 func (e *Events) Add(b []byte) ([]byte, error) {
 	e.rest = append(e.rest, b...)
 	at := 0
@@ -213,6 +228,9 @@
 	}
 	out := bytes.Clone(e.rest[:at])
 	e.rest = append(e.rest[:0], e.rest[at:]...)
+	if len(e.rest) > maxEventBytes {
+		return out, errEventSize
+	}
 	return out, nil
 }
 
