relay: Penalize an upstream that sends no responses

What callers saw or would see: an upstream that sends bytes that are no response fails each request at once, so it has the fewest in flight and attracts all of them; requests that can't be repeated fail.

Cause: only an error response lowered an upstream's rank, and only silence or a failed connection had it avoided. Bytes that are no response did neither.

Change: a BadResponse counts as an error response.

Ruled out: avoiding the upstream as an unreachable one, since a single bad response says less than a refused connection.

--- a/internal/transport/relay/exchange.go
+++ b/internal/transport/relay/exchange.go
@@ -251,6 +251,9 @@
 		return dropped
 	}
 	x.exclude = append(x.exclude, c.ID)
+	if errors.As(err, new(httpconn.BadResponse)) {
+		x.r.d.Pool.RecordErrorResponse(time.Now(), c.ID)
+	}
 	if silent && !x.r.d.Pool.RespondedSince(c.ID, time.Now().Add(-took)) {
 		x.r.d.Pool.RecordUnreachable(time.Now(), c.ID)
 	}
--- a/internal/transport/relay/relay_test.go
+++ b/internal/transport/relay/relay_test.go
@@ -336,6 +336,45 @@
 	require.Equal(t, text, got.body.String())
 }
 
+// TestUpstreamThatSendsGarbageAttractsNoLoad lets the upstream that got the first request fail all its requests immediately
+// with bytes that are no response.
+func TestUpstreamThatSendsGarbageAttractsNoLoad(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		pool := dispatch.New(dispatch.Deps{Zone: "a", Connected: func(string) bool { return false }, OnPreemption: func(dispatch.Choice) {}})
+		pool.SetUpstreams(time.Now(), []roster.Upstream{{ID: "up-0", Service: "s", Slots: 1}, {ID: "up-1", Service: "s", Slots: 1}, {ID: "up-2", Service: "s", Slots: 1}})
+		p := newPlan(plan.Safe, 2, false)
+		u := &garbage{}
+		r := relay.New(relay.Deps{Upstreams: u, Pool: pool, RetryPolicy: dispatch.NewRetryPolicy(), Quota: limits{}, Traffic: noMetrics{},
+			Plan: func() *plan.Plan { return p }, Log: slog.New(slog.DiscardHandler)})
+		for range 100 {
+			c := &caller{}
+			r.Serve(t.Context(), &relay.Request{Host: "h", Path: "/p", Key: "k", Arrived: time.Now(), Deadline: 5 * time.Second}, c)
+			require.Equal(t, 200, c.status)
+			time.Sleep(10 * time.Millisecond)
+		}
+		require.Less(t, u.failed, 5)
+	})
+}
+
+// garbage are upstreams of which the first one used sends no responses.
+type garbage struct {
+	upstreams
+	bad    string
+	failed int
+}
+
+func (g *garbage) Send(ctx context.Context, q *relay.Request, s relay.Sending) (*relay.Response, error) {
+	if g.bad == "" {
+		g.bad = s.Upstream
+	}
+	if s.Upstream == g.bad {
+		g.failed++
+		return nil, httpconn.BadResponse{Cause: errReset}
+	}
+	g.reactions = []reaction{{body: "ok"}}
+	return g.upstreams.Send(ctx, q, s)
+}
+
 func TestResumedStreamKeepsTheFirstHeader(t *testing.T) {
 	u := &upstreams{reactions: []reaction{{body: events(1, 2), stall: true}, {body: events(3, 5)}}}
 	got := serve(t, newPlan(plan.Stream, 2, true), u, nil)
