batchrun: Bound the response to an item

What callers saw or would see: an upstream in trouble that streams without end grows the memory of a batch VM (284 MB in all) until it ends; sent slowly, or as comments, the bytes hold the item and its slot for good, as an item has no deadline.

Cause: the output of an item had no bound, and any byte reset the timer of 2 s that interrupts a run.

Change: an item's output has at most 1 MiB (the results of a job are read in pages of that size), at most 1 MiB may come between the data of two events, and only data resets the timer. An output beyond the bound is discarded, so that the next run starts from the first event instead of resuming it.

Evidence: TestResponseWithoutEndIsInterrupted failed before in nine of eleven cases: 67,108,864 bytes read, all that the test sends, in six, and 20 s, the time of the test, in the three slow ones. The two fast cases of an event without end are bounded since. Now the item completes in its second run in all cases; the first ends within 5 s.

Ruled out: ending such an item as errored, since another upstream may be sound; a time limit on a run, since a long output is sound.

Not bounded: one event with data every 2 s at most, which can't be told from a slow sound output, holds its slot until 1 MiB.

--- a/internal/transport/batchrun/carry.go
+++ b/internal/transport/batchrun/carry.go
@@ -12,7 +12,11 @@
 	"snipetack/internal/transport/relay"
 )
 
-const readBytes = 16 << 10 // of the read buffer
+const (
+	readBytes      = 16 << 10 // of the read buffer
+	maxOutputBytes = 1 << 20  // of an item
+	maxNoDataBytes = 1 << 20  // of a response, between the data of two events
+)
 
 // newRequest returns the request that runs an item.
 func newRequest(host string, i docket.Item) *relay.Request {
@@ -24,11 +28,12 @@
 }
 
 // runItem sends an item to an upstream and appends the events of its response to those of earlier runs in t. A run whose
-// upstream sends no bytes for gapTimeout is cancelled.
+// upstream sends no data for gapTimeout, or within maxNoDataBytes, is cancelled. An output that exceeds maxOutputBytes is
+// discarded: the next run starts from the first event.
 func (r *Runner) runItem(ctx context.Context, q *relay.Request, s relay.Sending, t *partial) outcome {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	gapTimer := time.AfterFunc(gapTimeout, func() { cancel(errNoBytes) })
+	gapTimer := time.AfterFunc(gapTimeout, func() { cancel(errNoData) })
 	defer gapTimer.Stop()
 	a, err := r.d.Upstreams.Send(ctx, q, s)
 	if err != nil {
@@ -49,15 +54,21 @@
 	}
 	e := relay.NewEvents(t.lastEvent)
 	b := make([]byte, readBytes)
+	noData := 0
 	for {
 		n, err := a.Body.Read(b)
-		if n > 0 {
+		newEvents, eventErr := e.Add(b[:n])
+		data := relay.EventData(newEvents)
+		noData += n
+		if len(data) > 0 {
 			gapTimer.Reset(gapTimeout)
+			noData = 0
 		}
-		newEvents, orderErr := e.Add(b[:n])
-		r.collect(t, e.Last(), relay.EventData(newEvents))
 		switch {
-		case orderErr != nil:
+		case !r.collect(t, e.Last(), data):
+			r.d.Log.Warn("item output discarded", "request", q.ID, "upstream", s.Upstream, "limit", maxOutputBytes)
+			return broken
+		case eventErr != nil || noData > maxNoDataBytes:
 			return broken
 		case err == io.EOF && e.Rest() == 0:
 			return complete
@@ -67,13 +78,13 @@
 	}
 }
 
-// errNoBytes is the cause of cancelling a run whose upstream sends no bytes for gapTimeout.
-var errNoBytes = errors.New("no bytes from the upstream within the timeout")
+// errNoData is the cause of cancelling a run whose upstream sends no data for gapTimeout.
+var errNoData = errors.New("no data from the upstream within the timeout")
 
 // interrupted returns the outcome of a run that ended with an error: stopped when this VM cancelled it for other reasons than
 // a timeout.
 func (r *Runner) interrupted(ctx context.Context, q *relay.Request, s relay.Sending, err error) outcome {
-	timedOut := errors.Is(context.Cause(ctx), errNoBytes)
+	timedOut := errors.Is(context.Cause(ctx), errNoData)
 	if ctx.Err() != nil && !timedOut {
 		return stopped
 	}
@@ -83,13 +94,22 @@
 	return broken
 }
 
-// collect appends the data of events to an item's output.
-func (r *Runner) collect(t *partial, last uint64, data []string) {
+// collect appends the data of events to an item's output. It returns false when the output exceeds maxOutputBytes, and discards
+// it.
+func (r *Runner) collect(t *partial, last uint64, data []string) bool {
 	if len(data) == 0 {
-		return
+		return true
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	t.lastEvent = last
 	t.data = append(t.data, data...)
+	for _, d := range data {
+		t.bytes += len(d) + 1
+	}
+	if t.bytes <= maxOutputBytes {
+		return true
+	}
+	t.lastEvent, t.data, t.bytes = 0, nil, 0
+	return false
 }
--- a/internal/transport/batchrun/runner.go
+++ b/internal/transport/batchrun/runner.go
@@ -27,7 +27,7 @@
 	upstreamBackoffBase = 250 * time.Millisecond // an upstream gets no item for this long times 2 to the power of its consecutive failed runs, from the second run on
 	upstreamBackoffMax  = 8 * time.Second
 	routeGrace          = 10 * time.Second // age of a job up to which its items wait for a route: it may be newer than the configuration here
-	gapTimeout          = 2 * time.Second  // a run whose upstream sends no bytes for this long is interrupted
+	gapTimeout          = 2 * time.Second  // a run whose upstream sends no data for this long is interrupted
 )
 
 // Deps are the collaborators of a Runner.
@@ -72,6 +72,7 @@
 type partial struct {
 	lastEvent uint64 // id of the last complete event; 0 when there is none
 	data      []string
+	bytes     int           // of data, with a line feed after each
 	ran       time.Duration // run time of all ended runs
 }
 
--- a/internal/transport/batchrun/runner_test.go
+++ b/internal/transport/batchrun/runner_test.go
@@ -37,6 +37,7 @@
 	runs       map[string][]relay.Sending   // by item
 	status     func(id string, run int) int // HTTP status of an item's nth run, counted from 1; 200 where it is nil
 	breakAt    func(id string, run int) int // event after which a run is interrupted; 0 is never
+	endless    *endless                     // body of each item's first run
 }
 
 func (e *engine) Send(ctx context.Context, q *relay.Request, s relay.Sending) (*relay.Response, error) {
@@ -54,6 +55,11 @@
 	if e.breakAt != nil {
 		end = e.breakAt(q.ID, n)
 	}
+	if e.endless != nil && n == 1 {
+		e.endless.ctx, e.endless.e, e.endless.began = ctx, e, time.Now()
+		a.Body = e.endless
+		return a, nil
+	}
 	a.Body = &events{ctx: ctx, e: e, next: s.Resume + 1, end: uint64(end)}
 	return a, nil
 }
@@ -251,6 +257,89 @@
 	}
 }
 
+// TestResponseWithoutEndIsInterrupted lets the first run of an item get bytes without end: the run must end before it has read
+// as much as an output of empty events can take, and the item must complete in the second one.
+func TestResponseWithoutEndIsInterrupted(t *testing.T) {
+	table := map[string]endless{
+		"garbage without a line end":            {text: strings.Repeat("x", 16<<10)},
+		"lines of an event without end":         {text: strings.Repeat("data: x\n", 1<<10)},
+		"empty events without end":              {text: strings.Repeat("\n", 16<<10), pause: time.Millisecond},
+		"comments without end":                  {text: strings.Repeat(": wait\n\n", 1<<10), pause: time.Millisecond},
+		"events with data without end":          {text: strings.Repeat("data: x\n\n", 1<<10)},
+		"events without data without end":       {text: strings.Repeat("data:\n\n", 1<<10)},
+		"slow garbage without a line end":       {text: "x", pause: time.Second},
+		"slow lines of an event without end":    {text: "data: x\n", pause: time.Second},
+		"slow comments without end":             {text: ": wait\n\n", pause: time.Second},
+		"numbered events with data, no end":     {numbered: strings.Repeat("x", 1<<10)},
+		"numbered events of many lines, no end": {numbered: strings.Repeat("x\ndata: ", 1<<10)},
+	}
+	for name, x := range table {
+		t.Run(name, func(t *testing.T) {
+			e := &engine{endless: &x}
+			var l map[int]docket.Item
+			runFixture(t, e, func(w *fixture) {
+				w.submit("j", 1)
+				time.Sleep(20 * time.Second)
+				l = w.results("j")
+			})
+			require.Less(t, x.sent, len("data:\n\n")*maxOutputBytes+maxNoDataBytes)
+			require.LessOrEqual(t, x.ended, 5*time.Second)
+			require.Len(t, e.history()["j0"], 2)
+			require.Len(t, l, 1)
+			require.Equal(t, docket.Complete, l[0].Outcome)
+			require.Equal(t, output(), l[0].Output)
+		})
+	}
+}
+
+// endless is a response body that repeats a text, or numbered events with data.
+type endless struct {
+	text     string
+	numbered string
+	pause    time.Duration // before each repetition
+	sent     int           // bytes
+	ended    time.Duration // time until it was closed
+	began    time.Time
+	ctx      context.Context //nolint:containedctx // its end fails Read, as with a connection
+	e        *engine
+	n        int
+	rest     string
+}
+
+// maxEndless is how many bytes an endless response sends before it stalls.
+const maxEndless = 64 << 20
+
+func (x *endless) Read(b []byte) (int, error) {
+	if x.sent >= maxEndless {
+		<-x.ctx.Done()
+		return 0, x.ctx.Err()
+	}
+	select {
+	case <-time.After(x.pause):
+	case <-x.ctx.Done():
+		return 0, x.ctx.Err()
+	}
+	if x.rest == "" {
+		x.rest = x.text
+		if x.numbered != "" {
+			x.n++
+			x.rest = fmt.Sprintf("id: %d\ndata: %s\n\n", x.n, x.numbered)
+		}
+	}
+	n := copy(b, x.rest)
+	x.rest = x.rest[n:]
+	x.sent += n
+	return n, nil
+}
+
+func (x *endless) Close() error {
+	x.ended = time.Since(x.began)
+	x.e.mu.Lock()
+	defer x.e.mu.Unlock()
+	x.e.running--
+	return nil
+}
+
 func TestItemsOfAnEndedJobStop(t *testing.T) {
 	runFixture(t, &engine{}, func(w *fixture) {
 		w.submit("j", 20)
