gateway: Bound what an engine's stream may send without progress

What callers would see: an engine in trouble that sends lines, comments, empty events or the same chunk without end holds the request until its service's deadline; chunks after a missing one are kept, up to 256 MiB; a line without end ends the request as an internal error (7004), without a try at another engine.

Cause: only a line and the data of one event had a bound in bytes. Chunks that are kept were bounded in number only, and each chunk leaves a digest in memory. bufio.ErrTooLong is no Failure, so it became an internal error, which is not resumable.

Change: 4 MiB to the next event with data; as many events without progress as chunks came, and 256 more; 4 MiB of chunks after a missing one; 1,048,576 chunks (8 MiB of digests). Each is a broken upstream, after which the response is resumed or another engine runs the request.

Evidence: TestStreamWithoutEndBreaks failed before in nine of twelve cases: seven after 64 MiB, all that the test sends, and two with "internal (7004): bufio.Scanner: token too long". TestRepeatedChunksAreNoFault (an engine that ignores the resume header) passed before, too.

Ruled out: a bound on the bytes of a response, which would cut long ones.

--- a/internal/transport/gateway/event.go
+++ b/internal/transport/gateway/event.go
@@ -6,12 +6,15 @@
 	"io"
 	"strconv"
 
+	"github.com/pkg/errors"
+
 	"snipetack/internal/state/result"
 )
 
 // Bounds and marks of a stream of events.
 const (
 	maxLineBytes = 1 << 20 // bytes of a line, and of an event's data
+	maxEventGap  = 4 << 20 // bytes from the end of one event with data to that of the next
 	doneMarker   = "[DONE]"
 )
 
@@ -36,14 +39,18 @@
 // stream is a Failure: a complete response ends with doneMarker.
 func (r *eventReader) next() (event, error) {
 	var e event
+	n := 0
 	for r.s.Scan() {
 		l := r.s.Bytes()
+		if n += len(l) + 1; n > maxEventGap {
+			return event{}, result.New(result.UpstreamBroken, "no event within %d bytes", maxEventGap).WithRan(result.DidRun)
+		}
 		if len(l) == 0 && e.Data != nil {
 			return e, nil
 		}
-		n, v, _ := bytes.Cut(l, []byte(":"))
+		k, v, _ := bytes.Cut(l, []byte(":"))
 		v = bytes.TrimPrefix(v, []byte(" "))
-		switch string(n) {
+		switch string(k) {
 		case "id":
 			e.Number, _ = strconv.Atoi(string(v))
 		case "data":
@@ -56,6 +63,9 @@
 			}
 		}
 	}
+	if errors.Is(r.s.Err(), bufio.ErrTooLong) {
+		return event{}, result.New(result.UpstreamBroken, "a line exceeds %d bytes", maxLineBytes).WithRan(result.DidRun)
+	}
 	if err := r.s.Err(); err != nil {
 		return event{}, result.Of(err).WithRan(result.DidRun)
 	}
--- a/internal/transport/gateway/run.go
+++ b/internal/transport/gateway/run.go
@@ -24,6 +24,8 @@
 	maxUnresponsive         = 2 // connections to an engine that became unresponsive, also if they yielded chunks
 	cancelTimeout           = 2 * time.Second
 	maxRefusalBytes         = 64 << 10 // bytes of an engine's own error response that are forwarded
+	maxChunks               = 1 << 20  // chunks of a response
+	maxHeldBytes            = 4 << 20  // bytes of chunks that are kept because an earlier one is missing
 )
 
 // engineRun is one engine request; its response may come over several connections and from several engines.
@@ -199,6 +201,7 @@
 // relay sends the chunks of one connection to the sink; it returns nil when the response is complete.
 func (r *engineRun) relay(e *eventReader, p *routing.Report) error {
 	start := time.Now()
+	withoutProgress := 0 // events that completed no further chunk
 	for {
 		v, err := e.next()
 		if err != nil {
@@ -214,18 +217,43 @@
 			}
 			return r.sink.done()
 		}
+		before := r.response.last()
 		l, err := r.response.add(v)
+		if r.response.last() == before {
+			withoutProgress++
+		}
 		for _, b := range l {
 			if err := r.sink.chunk(b); err != nil {
 				return err
 			}
 		}
+		if err == nil {
+			err = r.checkBounds(withoutProgress)
+		}
 		if err != nil {
 			return err
 		}
 	}
 }
 
+// checkBounds fails if the response can't end or keeps too much memory. An engine that ignores ResumeHeader may send each
+// chunk once more.
+func (r *engineRun) checkBounds(withoutProgress int) error {
+	held := 0
+	for _, b := range r.response.held {
+		held += len(b)
+	}
+	switch {
+	case r.response.last() > maxChunks:
+		return brokenResponse("the answer has too many chunks")
+	case withoutProgress > r.response.last()+maxHeldChunks:
+		return brokenResponse("the answer repeats its chunks")
+	case held > maxHeldBytes:
+		return brokenResponse("too many bytes follow a missing chunk")
+	}
+	return nil
+}
+
 // otherResponse handles a response that is not an event stream. It forwards a refusal of the request itself (status
 // 4xx) to the caller; after most others, another engine may be tried. It always returns an error.
 func (r *engineRun) otherResponse(a *http.Response, p *routing.Report, resumed bool) error {
