replica: Create no second group when the initial members have lost their disks

What callers would see: two batch groups, each with a leader. Jobs that one group accepted can't be found in the other (LOST), and items run twice.

Cause: only the first initial member creates a group, once all other initial members have answered that they are blank. A batch VM is given the initial members at each start. When each of them has lost its disk at some time (one at a time, within the tolerance) and another VM took its place, all of them are blank VMs outside the group, so the first creates the group a second time, whether or not the group has a leader.

Change: a blank replica that hears of a leader stores term 1, so it is not blank any more, also after a restart, and answers that it has state. A leader was elected by a quorum that stored its votes, so the group exists for good. Within the tolerance, all initial members can't lose their disks before one of them hears of the leader.

Ruled out: refusing only while a leader is known (after a loss of power the initial members answer each other before a leader is elected); a mark in the control group's state (a VM reads it late or not at all).

--- a/internal/coordination/consensus/core.go
+++ b/internal/coordination/consensus/core.go
@@ -182,7 +182,8 @@
 	return c
 }
 
-// Blank reports whether the replica has no term, vote or log entry, so that it has never taken part in the group.
+// Blank reports whether the replica has no term, vote or log entry, so that it has neither taken part in the group nor
+// heard of a leader.
 func (c *Core) Blank() bool {
 	return c.hard == (HardState{}) && c.log.last() == 0
 }
@@ -199,6 +200,14 @@
 	c.Tick(now)
 }
 
+// Discover records on a blank replica that the group exists. The replica then is not blank any more, also after a
+// restart, so it can't be bootstrapped and counted as a blank initial member. It does nothing on other replicas.
+func (c *Core) Discover() {
+	if c.Blank() {
+		c.setHard(HardState{Term: 1})
+	}
+}
+
 // Effects returns what the driver has to do as a result of the calls since the last one, and then forgets it. The
 // driver calls it until it returns nothing to do.
 func (c *Core) Effects(now time.Time) Effects {
--- a/internal/coordination/replica/envelope.go
+++ b/internal/coordination/replica/envelope.go
@@ -17,7 +17,7 @@
 	Group        uint32
 	ID           uint64 // of the sender
 	ResponseTo   uint64 // replica ID of the requester; 0 in a request or an announcement
-	HasState     bool   // the sender is not blank: it has taken part in the group
+	HasState     bool   // the sender is not blank: it has taken part in the group or heard of its leader
 	Leader       string // VM of the leader; empty if the sender knows none
 	Announcement bool   // expects no response
 }
--- a/internal/coordination/replica/formation.go
+++ b/internal/coordination/replica/formation.go
@@ -28,8 +28,8 @@
 // and bootstraps groups that no initial member has any state of.
 //
 // Only the initial member whose name sorts first bootstraps a group, and only after each of the others has responded
-// that it is blank. So a replica that lost its disk can't create the group a second time while any other initial member
-// still has its state.
+// that it is blank. A replica that has heard of a leader is not blank, even if it never becomes a member. So initial
+// members that lost their disks can't create the group a second time unless all did so before they heard of it.
 func (r *Replica) discoverGroups(now time.Time) {
 	for _, n := range r.groupIDs {
 		m := r.groups[n]
@@ -114,6 +114,9 @@
 // onHello responds to a request, which the leader also records as a joining replica, or records a response to a request
 // of this replica. Responses to an earlier replica of this VM are ignored.
 func (r *Replica) onHello(now time.Time, m *groupReplica, from string, h hello) {
+	if h.Leader != "" {
+		m.core.Discover()
+	}
 	if h.Announcement {
 		m.leaderHint, m.leaderHintAt = h.Leader, now
 		return
--- a/internal/coordination/replica/growth_test.go
+++ b/internal/coordination/replica/growth_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -112,3 +113,52 @@
 		})
 	}
 }
+
+// TestInitialMembersThatLostTheirDisksCreateNoSecondGroup wipes the disks of the initial members, one after the other, for
+// long enough that other VMs take their places, until none is in the group.
+func TestInitialMembersThatLostTheirDisksCreateNoSecondGroup(t *testing.T) {
+	for _, end := range []string{"none", "all VMs lose power"} {
+		t.Run(end, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newGrowing(t, 3, noneLeaving)
+				defer c.close()
+				for i := range 7 {
+					c.add(fmt.Sprint("vm-new-", i))
+				}
+				c.propose(1, "first")
+				time.Sleep(catchUp)
+				initial := func(v string) bool { return slices.Contains(c.names[:3], v) }
+				for range 100 {
+					l := c.voters(1)
+					i := slices.IndexFunc(l, initial)
+					if i < 0 {
+						break
+					}
+					n := c.nodes[l[i]]
+					n.kill()
+					n.disk.Wipe()
+					time.Sleep(catchUp)
+					n.start()
+					time.Sleep(catchUp)
+				}
+				require.False(t, slices.ContainsFunc(c.voters(1), initial))
+				if end != "none" {
+					for _, n := range c.nodes {
+						n.kill()
+					}
+					for _, n := range c.nodes {
+						n.start()
+					}
+				}
+				time.Sleep(catchUp)
+				var leaders []string
+				for _, v := range c.names {
+					if _, _, ok := c.nodes[v].replica.Lease(1); ok {
+						leaders = append(leaders, v)
+					}
+				}
+				require.Len(t, leaders, 1, "leaders of the group")
+			})
+		})
+	}
+}
