--- a/internal/state/journal/journal.go
+++ b/internal/state/journal/journal.go
@@ -36,6 +36,8 @@
 	Rename(from, to string) error
 	// Remove deletes a file.
 	Remove(name string) error
+	// Sync makes the names of all files durable.
+	Sync() error
 }
 
 // Damage is the error of Open for a record that was synced and can no longer be read.
@@ -60,7 +62,8 @@
 }
 
 // Open opens a journal, creates it when it is missing, and returns its payloads in order. It cuts off an invalid
-// rest of the file, unless a valid record is in it: then it fails with a Damage.
+// rest of the file, unless a valid record is in it: then it fails with a Damage. The payloads are durable on return, also
+// if a process was killed before it had synced them.
 func Open(f Folder, name string) (*Journal, [][]byte, error) {
 	h, err := f.Open(name)
 	if err != nil {
@@ -127,13 +130,15 @@
 	}
 	j.lastNumber = uint64(len(l))
 	j.size = int64(valid)
-	if valid == len(b) {
-		return l, nil
+	if valid < len(b) {
+		if err := j.file.Truncate(j.size); err != nil {
+			return nil, errors.Wrapf(err, "cutting off the torn record at the end of %s", j.name)
+		}
 	}
-	if err := j.file.Truncate(j.size); err != nil {
-		return nil, errors.Wrapf(err, "cutting off the torn record at the end of %s", j.name)
+	if err := j.file.Sync(); err != nil {
+		return nil, errors.Wrapf(err, "syncing %s", j.name)
 	}
-	return l, errors.Wrapf(j.file.Sync(), "cutting off the torn record at the end of %s", j.name)
+	return l, errors.Wrapf(j.folder.Sync(), "syncing the name of %s", j.name)
 }
 
 func (j *Journal) rewrite(payloads [][]byte) error {
--- a/internal/state/journal/journal_test.go
+++ b/internal/state/journal/journal_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -192,3 +195,43 @@
 	writeJournal(t, d, []string{"first", "second", "third"}[:record]...)
 	return int64(len(readContent(t, d)))
 }
+
+// TestRecordsThatWereReadSurviveAPowerLoss kills a process while it syncs the journal, opens the journal again and then
+// loses power.
+func TestRecordsThatWereReadSurviveAPowerLoss(t *testing.T) {
+	table := []struct {
+		name   string
+		killed time.Duration // after the start of the write; a sync takes a second
+		write  func(*journal.Journal) error
+		then   []string // appended after the restart
+	}{
+		{"sync of an append", time.Second / 2, func(j *journal.Journal) error { return j.Append([]byte("b")) }, nil},
+		{"rename of a rewrite", time.Second * 3 / 2, func(j *journal.Journal) error { return j.Rewrite([][]byte{[]byte("a"), []byte("b")}) }, []string{"c"}},
+	}
+	for _, c := range table {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d := fakedisk.New()
+				writeJournal(t, d, "a")
+				j, _, err := journal.Open(d, name)
+				require.NoError(t, err)
+				d.SetSyncDelay(time.Second)
+				var g sync.WaitGroup
+				defer g.Wait()
+				g.Go(func() { _ = c.write(j) })
+				time.Sleep(c.killed)
+				d.Kill()
+				j, l, err := journal.Open(d, name)
+				require.NoError(t, err)
+				require.Equal(t, []string{"a", "b"}, texts(l))
+				for _, p := range c.then {
+					require.NoError(t, j.Append([]byte(p)))
+				}
+				d.Crash(0)
+				_, l, err = journal.Open(d, name)
+				require.NoError(t, err)
+				require.Equal(t, append([]string{"a", "b"}, c.then...), texts(l))
+			})
+		})
+	}
+}
--- a/internal/transport/disk/folder.go
+++ b/internal/transport/disk/folder.go
@@ -27,6 +27,8 @@
 	Rename(from, to string) error
 	// Remove deletes a file; this is durable on return.
 	Remove(name string) error
+	// Sync makes the names of all files durable: those created, renamed and removed.
+	Sync() error
 	// Close releases the folder's lock; open files stay open.
 	Close() error
 }
@@ -63,7 +65,7 @@
 		return nil, errors.Wrapf(err, "opening %s", p)
 	}
 	if isNew {
-		err = f.sync()
+		err = f.Sync()
 	}
 	return &file{File: h}, err
 }
@@ -88,22 +90,21 @@
 	if err != nil {
 		return errors.Wrapf(err, "renaming %s in %s", from, f.path)
 	}
-	return f.sync()
+	return f.Sync()
 }
 
 func (f *folder) Remove(name string) error {
 	if err := os.Remove(filepath.Join(f.path, name)); err != nil {
 		return errors.Wrapf(err, "removing %s from %s", name, f.path)
 	}
-	return f.sync()
+	return f.Sync()
 }
 
 func (f *folder) Close() error {
 	return f.lock.Close()
 }
 
-// sync makes the folder's entries durable: names created, renamed and removed.
-func (f *folder) sync() error {
+func (f *folder) Sync() error {
 	d, err := os.Open(f.path)
 	if err != nil {
 		return errors.Wrapf(err, "opening %s", f.path)
