replica: Never give a read the number of a read before the restart

What callers would see: a read of jobs or of the configuration on a VM that has just restarted lacks something that was accepted before the read, and answers, for example, that an accepted batch does not exist.

Cause: a replica numbered its reads from 1 after each start, and keeps its replica ID and term. A response to a read of the process before the restart, delayed until after it, completed the new read with the same number and thus with an old index. In the same way the leader took a new request for a repetition of one that was still pending.

Change: the numbers start at a random value.

Evidence: TestDelayedReadResponseCompletesNoBarrierAfterARestart failed before (a barrier on a follower that is cut off from the leader succeeded with "applied: [first]" after "second" was committed) and passes now.

--- a/internal/coordination/consensus/read.go
+++ b/internal/coordination/consensus/read.go
@@ -11,8 +11,8 @@
 }
 
 // Read requests an index that covers everything committed before the call. The result is among the Reads of a later
-// Effects, under the same number, which must differ from that of every earlier read of this replica. Without a leader the read stays pending; it fails if this replica becomes or stops
-// being the leader.
+// Effects, under the same number, which must differ from that of every earlier read of this replica, also before a
+// restart. Without a leader the read stays pending; it fails if this replica becomes or stops being the leader.
 func (c *Core) Read(now time.Time, number uint64) {
 	c.reads = append(c.reads, read{number: number, receivedAt: c.clock(now)})
 	if c.role == Leader {
--- a/internal/coordination/replica/cluster_test.go
+++ b/internal/coordination/replica/cluster_test.go
@@ -40,6 +40,7 @@
 	added          time.Duration // further delay of frames to VMs that were added
 
 	grow func(n *node) *replica.Growth // nil for no Growth
+	tap  func(from, to string, frame []byte) (deliver bool)
 }
 
 // node is a VM with a replica, which can be killed and started again.
@@ -186,7 +187,7 @@
 	defer c.mu.Unlock()
 	c.sent++
 	c.bytes += len(frame)
-	if n.replica == nil || c.rand.Float64() < c.loss {
+	if n.replica == nil || c.rand.Float64() < c.loss || c.tap != nil && !c.tap(n.vm, vm, frame) {
 		return
 	}
 	if c.delay == 0 {
--- a/internal/coordination/replica/member.go
+++ b/internal/coordination/replica/member.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -102,6 +103,7 @@
 		newestFile:     c.Snapshot().Index,
 		openProposals:  map[uint64]openProposal{},
 		reads:          map[uint64][]pendingBarrier{},
+		lastRead:       rand.Uint64(), // no number of an earlier process, whose responses may still arrive
 		blankPeers:     map[string]uint64{},
 		joining:        map[string]joiningReplica{},
 	}
--- a/internal/coordination/replica/replica_test.go
+++ b/internal/coordination/replica/replica_test.go
@@ -275,3 +275,47 @@
 		require.Equal(t, []string{"command 0", "command 1", "command 2", "command 3", "command 4"}, l.machines[0].list())
 	})
 }
+
+// TestDelayedReadResponseCompletesNoBarrierAfterARestart delivers the leader's frames to a follower only after the
+// follower has restarted and the leader has committed another command.
+func TestDelayedReadResponseCompletesNoBarrierAfterARestart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1, 3, replica.DefaultLimits()).start()
+		defer c.close()
+		c.propose(0, "first")
+		c.waitSame(0)
+		leader := c.leader(0)
+		follower := c.nodes[c.names[0]]
+		if follower == leader {
+			follower = c.nodes[c.names[1]]
+		}
+		var delayed [][]byte
+		c.mu.Lock()
+		c.tap = func(from, to string, frame []byte) bool {
+			if from == leader.vm && to == follower.vm {
+				delayed = append(delayed, slices.Clone(frame))
+				return false
+			}
+			return true
+		}
+		c.mu.Unlock()
+		barrier := func() error {
+			ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+			defer cancel()
+			return follower.replica.Barrier(ctx, 0)
+		}
+		require.Error(t, barrier())
+		follower.kill()
+		follower.start()
+		c.mu.Lock()
+		old := slices.Clone(delayed)
+		c.mu.Unlock()
+		c.propose(0, "second")
+		time.AfterFunc(10*time.Millisecond, func() {
+			for _, f := range old {
+				follower.replica.Receive(leader.vm, f)
+			}
+		})
+		require.Error(t, barrier(), "applied: %v", follower.machines[0].list())
+	})
+}
