gateway: Keep the response of a call whose key is withdrawn meanwhile

A caller whose key was withdrawn, or whose deadline passed, at the moment its call of a plain service ended got a closed connection instead of the response that the upstream had sent. The response is still in the buffer of net/http then, and a panic in a handler drops it.

Cause: stopCause(ctx, nil) asked result.Of(nil) for the state of execution, a nil dereference. plainCall reaches it after each response, and execute before it abandons a call that may run once, so that the record of its key was not abandoned either.

A call without an error has no cause of its end to report, so stopCause returns nil for nil; execute passes the context's own error.

--- a/internal/transport/gateway/admission.go
+++ b/internal/transport/gateway/admission.go
@@ -130,9 +130,9 @@
 }
 
 // stopCause returns the Failure with which ctx was cancelled, with the state of execution that err reports. It returns
-// err itself if ctx has not ended or has ended without a Failure.
+// err itself if err is nil, or if ctx has not ended or has ended without a Failure.
 func stopCause(ctx context.Context, err error) error {
-	if ctx.Err() == nil {
+	if err == nil || ctx.Err() == nil {
 		return err
 	}
 	f := result.Of(context.Cause(ctx))
--- a/internal/transport/gateway/once.go
+++ b/internal/transport/gateway/once.go
@@ -89,9 +89,9 @@
 // execute dispatches the call and records its outcome. It continues when the caller disconnects, so that a repeated
 // request gets the outcome.
 func (n *plainRun) execute(ctx context.Context, w http.ResponseWriter) error {
-	if err := stopCause(ctx, nil); ctx.Err() != nil {
+	if err := ctx.Err(); err != nil {
 		_, _ = n.record(ctx, intent.Abandon, intent.Response{})
-		return result.Of(err).WithRan(result.NotRun)
+		return result.Of(stopCause(ctx, err)).WithRan(result.NotRun)
 	}
 	d, cancel := withDeadline(context.WithoutCancel(ctx), n.limit())
 	defer cancel()
