node: Answer requests that are still in flight at the end of a stop

A caller whose request waited for a slot, or was at an upstream that had not responded, when the grace time of a stopped entry VM ended got a closed connection after 7.7 s: no status, although a request that waited certainly had not run. Callers may not repeat a non-idempotent request after that.

Cause: the contexts of requests did not end with the stop. Shutdown gave up at its deadline and Close cut all connections.

The requests' common context ends a sixteenth of the grace time, 0.5 s of 8 s, before the stop's deadline. Streams that have begun can only be cut off; they keep their connection until then, too.

Ruled out: refusing the waiting requests when the stop begins; most of them get a slot in time.

--- a/internal/command/node/entry.go
+++ b/internal/command/node/entry.go
@@ -34,8 +34,9 @@
 	headerTimeout  = 10 * time.Second
 	idleTimeout    = 2 * time.Minute // longer than any configuration lets callers reuse a connection
 	maxHeaderBytes = 64 << 10
-	listFraction   = 0.5 // of the list's rate limit, for all entry VMs together; the rest is left to the control VMs
-	slackFraction  = 0.9 // of the quota slack, for the buckets of all entry VMs together
+	listFraction   = 0.5      // of the list's rate limit, for all entry VMs together; the rest is left to the control VMs
+	slackFraction  = 0.9      // of the quota slack, for the buckets of all entry VMs together
+	answerFraction = 1.0 / 16 // of the grace time: from the end of requests still in flight to that of the stop, to send their responses
 )
 
 // entry is the role of an entry VM: it relays callers' requests to upstreams and forwards their jobs to the batch VMs.
@@ -47,10 +48,14 @@
 	stopping  atomic.Bool
 	preempted chan struct{} // signals that a request has taken a slot from a batch item; capacity 1
 	server    *http.Server
+
+	requests    context.Context // of all callers' requests
+	endRequests context.CancelFunc
 }
 
 func newEntry(n *Node) (*entry, error) {
 	e := &entry{n: n, preempted: make(chan struct{}, 1)}
+	e.requests, e.endRequests = context.WithCancel(context.Background())
 	e.pool = dispatch.New(dispatch.Deps{Zone: n.Settings.Zone, Connected: n.conns.Idle, OnPreemption: func(dispatch.Choice) {
 		select {
 		case e.preempted <- struct{}{}:
@@ -75,6 +80,7 @@
 	})
 	e.jobs = jobs.NewClient(n.link, m)
 	e.server = newServer(n, n.Adapters.Callers(e.relay, e.jobs))
+	e.server.BaseContext = func(net.Listener) context.Context { return e.requests }
 	n.link.Receive(link.Hint, e.hint)
 	return e, n.registerGauges([]gauge{
 		{"requests_in_flight", "Callers' requests in progress.", func() float64 { return float64(e.relay.Active()) }},
@@ -178,12 +184,20 @@
 }
 
 // stop reports not ready until the load balancer sends no more requests, then finishes those in flight and closes the
-// connections. Requests that are still in flight when ctx ends are cut off.
+// connections. Shortly before ctx ends, requests that are still in flight end with an error response; those whose response
+// has begun are cut off.
 func (e *entry) stop(ctx context.Context) {
 	e.stopping.Store(true)
 	if !pause.For(ctx, balancerWait) {
 		return
 	}
+	if until, ok := ctx.Deadline(); ok {
+		margin := time.Duration(answerFraction * float64(e.n.Settings.Grace))
+		defer time.AfterFunc(time.Until(until)-margin, func() {
+			e.n.Log.Warn("requests ended by the stop", "requests", e.relay.Active())
+			e.endRequests()
+		}).Stop()
+	}
 	if err := e.server.Shutdown(ctx); err != nil {
 		e.n.Log.Warn("requests cut off by the stop", "requests", e.relay.Active(), "error", err)
 	}
@@ -209,13 +223,16 @@
 }
 
 // serve runs a server until ctx ends. After a Shutdown it waits for ctx, so that the other parts of the VM go on until then.
-// Requests keep their context when ctx ends, but lose their connections.
+// Requests keep their context when ctx ends, but lose their connections. Without a BaseContext of the server, theirs is ctx
+// without its end.
 func serve(ctx context.Context, n *Node, address string, s *http.Server) error {
 	l, err := n.Network.Listen(address)
 	if err != nil {
 		return err
 	}
-	s.BaseContext = func(net.Listener) context.Context { return context.WithoutCancel(ctx) }
+	if s.BaseContext == nil {
+		s.BaseContext = func(net.Listener) context.Context { return context.WithoutCancel(ctx) }
+	}
 	defer context.AfterFunc(ctx, func() { _ = s.Close() })()
 	err = s.Serve(l)
 	if errors.Is(err, http.ErrServerClosed) {
