node: Serve requests that arrive while callers' connections are closed

A caller that had opened a connection to an entry VM just before the VM closed its listener, 2.5 s after SIGTERM, got a closed connection without a response although the VM had read its request completely. Callers may not repeat a non-idempotent request then.

Cause: http.Server.Shutdown leaves new connections open, but once it has begun the server returns after it has read a request, without a call of the handler. It also closes a kept connection on which part of a header has been read, since a connection counts as idle until its header is complete.

The server is not shut down any more. A drainer closes the listener and then each connection of which no byte has been read since its last response; the read and the decision share a lock, so a byte that was read always leads to a response. Responses that begin meanwhile announce the end of their connection. A new connection gets half a second for its first request.

Ruled out: SetKeepAlivesEnabled(false) instead of Shutdown. It closes idle connections too, but does not keep the server from running a request that it read at that moment, whose response could not be sent.

--- a/internal/command/node/entry.go
+++ b/internal/command/node/entry.go
@@ -48,6 +48,7 @@
 	stopping  atomic.Bool
 	preempted chan struct{} // signals that a request has taken a slot from a batch item; capacity 1
 	server    *http.Server
+	drainer   *drainer // of server
 
 	requests    context.Context // of all callers' requests
 	endRequests context.CancelFunc
@@ -81,6 +82,7 @@
 	e.jobs = jobs.NewClient(n.link, m)
 	e.server = newServer(n, n.Adapters.Callers(e.relay, e.jobs))
 	e.server.BaseContext = func(net.Listener) context.Context { return e.requests }
+	e.drainer = newDrainer(e.server)
 	n.link.Receive(link.Hint, e.hint)
 	return e, n.registerGauges([]gauge{
 		{"requests_in_flight", "Callers' requests in progress.", func() float64 { return float64(e.relay.Active()) }},
@@ -91,7 +93,13 @@
 // run serves callers and the load balancer's checks until ctx ends.
 func (e *entry) run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
-	g.Go(func() error { return serve(ctx, e.n, e.n.Settings.Callers, e.server) })
+	g.Go(func() error {
+		l, err := e.n.Network.Listen(e.n.Settings.Callers)
+		if err != nil {
+			return err
+		}
+		return serve(ctx, e.drainer.listen(l), e.server)
+	})
 	g.Go(func() error {
 		return serveHTTP(ctx, e.n, e.n.Settings.Ready, e.n.Adapters.Ready(e.ready))
 	})
@@ -198,7 +206,7 @@
 			e.endRequests()
 		}).Stop()
 	}
-	if err := e.server.Shutdown(ctx); err != nil {
+	if err := e.drainer.drain(ctx); err != nil {
 		e.n.Log.Warn("requests cut off by the stop", "requests", e.relay.Active(), "error", err)
 	}
 }
@@ -219,25 +227,25 @@
 	if address == "" {
 		return nil
 	}
-	return serve(ctx, n, address, newServer(n, h))
-}
-
-// serve runs a server until ctx ends. After a Shutdown it waits for ctx, so that the other parts of the VM go on until then.
-// Requests keep their context when ctx ends, but lose their connections. Without a BaseContext of the server, theirs is ctx
-// without its end.
-func serve(ctx context.Context, n *Node, address string, s *http.Server) error {
 	l, err := n.Network.Listen(address)
 	if err != nil {
 		return err
 	}
+	return serve(ctx, l, newServer(n, h))
+}
+
+// serve runs a server until ctx ends, also when its listener ends with http.ErrServerClosed before, so that the other parts of
+// the VM go on until then. Requests keep their context when ctx ends, but lose their connections. Without a BaseContext of the
+// server, theirs is ctx without its end.
+func serve(ctx context.Context, l net.Listener, s *http.Server) error {
 	if s.BaseContext == nil {
 		s.BaseContext = func(net.Listener) context.Context { return context.WithoutCancel(ctx) }
 	}
 	defer context.AfterFunc(ctx, func() { _ = s.Close() })()
-	err = s.Serve(l)
+	err := s.Serve(l)
 	if errors.Is(err, http.ErrServerClosed) {
 		<-ctx.Done()
 		return nil
 	}
-	return errors.Wrapf(err, "serving %s", address)
+	return errors.Wrapf(err, "serving %s", l.Addr())
 }
--- a/internal/testing/fakenet/stream.go
+++ b/internal/testing/fakenet/stream.go
@@ -329,3 +329,14 @@
 	}
 	return a
 }
+
+// Unread returns how many of the bytes written to a TCP connection the other end has not read.
+func Unread(c net.Conn) int {
+	f, ok := c.(*conn)
+	if !ok {
+		return 0
+	}
+	f.out.mu.Lock()
+	defer f.out.mu.Unlock()
+	return f.out.size
+}
