link: Go on after a connection could not be accepted

When callers' connections take all file descriptors of an entry VM for a moment and another VM connects just then, the whole VM ends by itself: all callers on it get closed connections, also those whose request is at an upstream.

Cause: Serve returned each error of Accept, EMFILE included, and the end of one part ends the VM.

Serve retries after 50 ms unless the listener is closed.

--- a/internal/transport/link/link.go
+++ b/internal/transport/link/link.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"snipetack/internal/coordination/pause"
 	"snipetack/internal/transport/network"
 )
 
@@ -82,7 +83,11 @@
 	return p.call(ctx, k, body)
 }
 
-// Serve accepts connections from other VMs until ctx ends; then it closes n and all connections.
+// acceptRetryDelay is the time until the next attempt after a connection could not be accepted.
+const acceptRetryDelay = 50 * time.Millisecond
+
+// Serve accepts connections from other VMs until ctx ends; then it closes n and all connections. It goes on after an error for
+// lack of resources, such as file descriptors.
 func (l *Link) Serve(ctx context.Context, n net.Listener) error {
 	defer l.close()
 	defer context.AfterFunc(ctx, func() { _ = n.Close() })()
@@ -91,9 +96,14 @@
 		if ctx.Err() != nil {
 			return nil
 		}
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return errors.Wrap(err, "accepting a VM's connection")
 		}
+		if err != nil {
+			l.d.Log.Warn("accepting a VM's connection failed; retrying", "error", err)
+			pause.For(ctx, acceptRetryDelay)
+			continue
+		}
 		go l.serveConnection(ctx, c)
 	}
 }
--- a/internal/transport/link/link_test.go
+++ b/internal/transport/link/link_test.go
@@ -7,7 +7,9 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"os"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -126,6 +128,46 @@
 	})
 }
 
+// fullTable is a listener that fails for lack of file descriptors a number of times.
+type fullTable struct {
+	net.Listener
+	failures int
+}
+
+func (l *fullTable) Accept() (net.Conn, error) {
+	if l.failures > 0 {
+		l.failures--
+		return nil, &net.OpError{Op: "accept", Err: os.NewSyscallError("accept4", syscall.EMFILE)}
+	}
+	return l.Listener.Accept()
+}
+
+// TestServeOutlivesAFullDescriptorTable guards against the end of a VM, with all its callers' requests, when callers' connections
+// take all file descriptors for a moment.
+func TestServeOutlivesAFullDescriptorTable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := fakenet.New(1, fakenet.Link{Delay: delay})
+		a := start(t, n, "10.0.0.1")
+		b := link.New(link.Deps{Self: "10.0.0.2:7000", Network: n.Host("10.0.0.2"), Log: slog.New(slog.DiscardHandler)})
+		b.Handle(link.Sync, func(context.Context, string, []byte) ([]byte, error) { return []byte("served"), nil })
+		l, err := n.Host("10.0.0.2").Listen(b.Self())
+		require.NoError(t, err)
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan error, 1)
+		go func() { done <- b.Serve(ctx, &fullTable{Listener: l, failures: 3}) }()
+		got := ""
+		for began := time.Now(); got == "" && time.Since(began) < 10*time.Second; time.Sleep(100 * time.Millisecond) {
+			got, _ = call(a, b.Self(), "x", time.Second)
+		}
+		require.Equal(t, "served", got)
+		cancel()
+		require.NoError(t, <-done)
+		a.stop()
+		n.Close()
+		time.Sleep(time.Minute)
+	})
+}
+
 // TestOneWayFramesDetectAnUnresponsiveConnection sends only frames without responses, as the replicated groups do, so that only
 // a probe can detect the loss.
 func TestOneWayFramesDetectAnUnresponsiveConnection(t *testing.T) {
