batchrun: Keep finished jobs for their retention by any leader's clock

A caller could get 404 for a job whose results must still be readable: the time of acceptance comes from the clock of the leader that accepted the job, its age from the clock of the VM that leads now. Clocks may be 5 s off in either direction, so that a job could be deleted up to 10 s early.

Evidence: the new test, with a job accepted 9 s ago by the clock of its leader, failed before the change, within the minute of retention: "map[]" should have 1 item(s), but has 0

A job is deleted 10 s later than its retention, the largest difference of two clocks.

Changed test: TestFinishedJobsAreDeletedAfterRetention asked for the deletion 70 s after the acceptance, with a retention of 60 s. It now asks that the results are there until 60 s have passed (before: 50 s), and gone after 71 s.

Ruled out by reading, with the tests of package jobs: a 404 from a VM that does not lead (it answers only with results that it has, which never change), and from a leader that has not applied all commands (it reads after a barrier).

--- a/internal/transport/batchrun/runner.go
+++ b/internal/transport/batchrun/runner.go
@@ -28,6 +28,7 @@
 	upstreamBackoffMax  = 8 * time.Second
 	routeGrace          = 10 * time.Second // age of a job up to which its items wait for a route: it may be newer than the configuration here
 	gapTimeout          = 2 * time.Second  // a run whose upstream sends no bytes for this long is interrupted
+	clockMargin         = 10 * time.Second // by which the clocks of two leaders may differ: each is at most 5 s off
 )
 
 // Deps are the collaborators of a Runner.
@@ -38,7 +39,7 @@
 	Leads     func() bool
 	Plan      func() *plan.Plan // returns nil before the first configuration
 	List      func() []roster.Upstream
-	Retention time.Duration // time from a job's acceptance after which it is deleted once it is finished
+	Retention time.Duration // time from a job's acceptance for which it is kept at least
 	Log       *slog.Logger
 }
 
@@ -176,13 +177,13 @@
 }
 
 // pendingItems returns the items that may start now, and the ids of the jobs that have open items. It also deletes finished
-// jobs that were accepted longer than Retention ago.
+// jobs that were accepted longer than Retention and clockMargin ago.
 func (r *Runner) pendingItems(ctx context.Context, now time.Time, p *plan.Plan) ([]filler.Pending, map[string]bool) {
 	l := r.pending[:0]
 	open := map[string]bool{}
 	r.d.Docket.View(func(j *docket.Job) bool {
 		if j.Done() {
-			if j.Age(now) > r.d.Retention {
+			if j.Age(now) > r.d.Retention+clockMargin {
 				go r.commit(ctx, docket.Command{Action: docket.Forget, Job: docket.Job{ID: j.ID}})
 			}
 			return true
--- a/internal/transport/batchrun/runner_test.go
+++ b/internal/transport/batchrun/runner_test.go
@@ -163,8 +163,10 @@
 	})
 }
 
-func (w *fixture) submit(id string, items int) {
-	j := docket.Job{ID: id, Account: "x", Host: "h", Accepted: time.Now()}
+func (w *fixture) submit(id string, items int) { w.submitAt(id, items, time.Now()) }
+
+func (w *fixture) submitAt(id string, items int, accepted time.Time) {
+	j := docket.Job{ID: id, Account: "x", Host: "h", Accepted: accepted}
 	for i := range items {
 		j.Items = append(j.Items, docket.Item{ID: fmt.Sprint(id, i), Path: "/p", Tokens: 100})
 	}
@@ -277,13 +279,23 @@
 func TestFinishedJobsAreDeletedAfterRetention(t *testing.T) {
 	runFixture(t, &engine{}, func(w *fixture) {
 		w.submit("j", 1)
-		time.Sleep(50 * time.Second)
+		time.Sleep(time.Minute)
 		require.Len(t, w.results("j"), 1)
-		time.Sleep(20 * time.Second)
+		time.Sleep(clockMargin + time.Second)
 		require.False(t, w.docket.Read("j", func(*docket.Job) {}))
 	})
 }
 
+// TestJobOutlivesALeaderWhoseClockIsAhead guards against results that can't be read any more before their retention ends: a job
+// was accepted by a leader whose clock was 5 s behind, and now a VM leads whose clock is 4 s ahead.
+func TestJobOutlivesALeaderWhoseClockIsAhead(t *testing.T) {
+	runFixture(t, &engine{}, func(w *fixture) {
+		w.submitAt("j", 1, time.Now().Add(-9*time.Second))
+		time.Sleep(time.Minute)
+		require.Len(t, w.results("j"), 1)
+	})
+}
+
 func TestHintsHoldTheLoadsOfOtherVMs(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		h := NewHub(slog.New(slog.DiscardHandler))
