httpserver, node: Bound request bodies in time

What callers would see: a caller that sends a part of a body and then nothing, or a byte a second for good, kept its request, its goroutine and up to 8 MB of the entry VM's memory until one side closed. ReadHeaderTimeout ends with the head and IdleTimeout begins after the response. A refusal did not help: net/http goes on to read up to 256 KB of the body after the handler, also without a time limit. The same servers face the load balancer, operators and the collector of metrics.

Change: the new package httpserver makes all servers of a node. A read deadline on the connection moves with progress: a body fails after 10 s without a byte, and when it averages below 4 KB/s after its first 10 s. Only time spent in Read counts, so a slow handler is not charged to its caller. The deadline is set before the handler runs, so it also ends the discarding of an unread body.

Ruled out: http.Server.ReadTimeout, which also cuts slow sound uploads.

--- a/internal/command/node/entry.go
+++ b/internal/command/node/entry.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"log/slog"
 	"maps"
 	"math/rand/v2"
 	"net"
@@ -18,6 +17,7 @@
 	"snipetack/internal/coordination/roster"
 	"snipetack/internal/coordination/share"
 	"snipetack/internal/transport/batchrun"
+	"snipetack/internal/transport/httpserver"
 	"snipetack/internal/transport/jobs"
 	"snipetack/internal/transport/link"
 	"snipetack/internal/transport/relay"
@@ -26,16 +26,13 @@
 
 // Timing of an entry VM.
 const (
-	loadInterval   = 40 * time.Millisecond  // between checks whether the requests in flight have changed
-	loadRefresh    = 500 * time.Millisecond // counts that did not change are sent again after this time
-	pruneInterval  = 5 * time.Second
-	listStale      = 4 * time.Second         // age of the list at which an entry VM reads it itself
-	balancerWait   = 2500 * time.Millisecond // until the load balancer sends no more; it needs two failed checks, a second apart
-	headerTimeout  = 10 * time.Second
-	idleTimeout    = 2 * time.Minute // longer than any configuration lets callers reuse a connection
-	maxHeaderBytes = 64 << 10
-	listFraction   = 0.5 // of the list's rate limit, for all entry VMs together; the rest is left to the control VMs
-	slackFraction  = 0.9 // of the quota slack, for the buckets of all entry VMs together
+	loadInterval  = 40 * time.Millisecond  // between checks whether the requests in flight have changed
+	loadRefresh   = 500 * time.Millisecond // counts that did not change are sent again after this time
+	pruneInterval = 5 * time.Second
+	listStale     = 4 * time.Second         // age of the list at which an entry VM reads it itself
+	balancerWait  = 2500 * time.Millisecond // until the load balancer sends no more; it needs two failed checks, a second apart
+	listFraction  = 0.5                     // of the list's rate limit, for all entry VMs together; the rest is left to the control VMs
+	slackFraction = 0.9                     // of the quota slack, for the buckets of all entry VMs together
 )
 
 // entry is the role of an entry VM: it relays callers' requests to upstreams and forwards their jobs to the batch VMs.
@@ -74,7 +71,7 @@
 		Log:         n.Log,
 	})
 	e.jobs = jobs.NewClient(n.link, m)
-	e.server = newServer(n, n.Adapters.Callers(e.relay, e.jobs))
+	e.server = httpserver.New(n.Adapters.Callers(e.relay, e.jobs), n.Log)
 	n.link.Receive(link.Hint, e.hint)
 	return e, n.registerGauges([]gauge{
 		{"requests_in_flight", "Callers' requests in progress.", func() float64 { return float64(e.relay.Active()) }},
@@ -189,23 +186,12 @@
 	}
 }
 
-// newServer returns an HTTP server whose own errors, such as malformed requests, go to the debug log.
-func newServer(n *Node, h http.Handler) *http.Server {
-	return &http.Server{
-		Handler:           h,
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		ErrorLog:          slog.NewLogLogger(n.Log.Handler(), slog.LevelDebug),
-	}
-}
-
 // serveHTTP serves a handler at an address until ctx ends; "" serves none.
 func serveHTTP(ctx context.Context, n *Node, address string, h http.Handler) error {
 	if address == "" {
 		return nil
 	}
-	return serve(ctx, n, address, newServer(n, h))
+	return serve(ctx, n, address, httpserver.New(h, n.Log))
 }
 
 // serve runs a server until ctx ends. After a Shutdown it waits for ctx, so that the other parts of the VM go on until then.
--- /dev/null
+++ b/internal/transport/httpserver/doc.go
@@ -0,0 +1,3 @@
+// Package httpserver bounds HTTP servers in bytes and time, so that no client holds a connection or a request by sending or
+// accepting too little.
+package httpserver
--- /dev/null
+++ b/internal/transport/httpserver/server.go
@@ -0,0 +1,37 @@
+package httpserver
+
+import (
+	"log/slog"
+	"net/http"
+	"time"
+)
+
+// Bounds of connections.
+const (
+	maxHeader     = 64 << 10 // bytes of all headers
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 2 * time.Minute // longer than any configuration lets callers reuse a connection
+)
+
+// New returns a server of a handler, which Bound wraps. The server's own errors, such as malformed requests, go to the debug
+// log.
+func New(h http.Handler, log *slog.Logger) *http.Server {
+	return &http.Server{
+		Handler:           Bound(h),
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeader,
+		ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelDebug),
+	}
+}
+
+// Bound returns a handler whose requests fail to read from clients that send their body too slowly. The bound
+// moves with progress: a body may last as long as it needs.
+func Bound(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ContentLength != 0 {
+			r.Body = newBody(r.Body, http.NewResponseController(w))
+		}
+		h.ServeHTTP(w, r)
+	})
+}
