httpserver: Bound the time in which a client accepts its response

What callers would see: a caller that stops reading its response kept the request's goroutine, and the slot at the upstream behind it, until it closed. The end of the request's context does not wake a blocked write.

Change: each write, flush and the end of the handler give the client 20 s, as in package gateway. WriteTimeout starts the same time anew at each request, so that no deadline of an earlier response is left on the connection.

Evidence: TestCallerThatAcceptsNoBytesIsDisconnected failed before ("the handler is still writing" after 30 s) and passes now. TestEarlierResponsesDoNotLimitTheNextOne passes before and after: a handler of a minute on a connection that is a minute old.

--- a/internal/transport/httpserver/server.go
+++ b/internal/transport/httpserver/server.go
@@ -19,19 +19,23 @@
 	return &http.Server{
 		Handler:           Bound(h),
 		ReadHeaderTimeout: headerTimeout,
+		WriteTimeout:      writeTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeader,
 		ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelDebug),
 	}
 }
 
-// Bound returns a handler whose requests fail to read from clients that send their body too slowly. The bound
-// moves with progress: a body may last as long as it needs.
+// Bound returns a handler whose requests fail to read from clients that send their body too slowly, and to write to clients
+// that accept nothing of their response. The bounds move with progress: a body or a response may last as long as it needs.
 func Bound(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c := http.NewResponseController(w)
 		if r.ContentLength != 0 {
-			r.Body = newBody(r.Body, http.NewResponseController(w))
+			r.Body = newBody(r.Body, c)
 		}
-		h.ServeHTTP(w, r)
+		b := &writer{ResponseWriter: w, c: c}
+		h.ServeHTTP(b, r)
+		b.extendDeadline() // for what is still buffered
 	})
 }
--- a/internal/transport/httpserver/server_test.go
+++ b/internal/transport/httpserver/server_test.go
@@ -127,3 +127,53 @@
 		}
 	})
 }
+
+// TestCallerThatAcceptsNoBytesIsDisconnected guards against callers that hold a request, and its slot at an upstream, by not
+// reading their response.
+func TestCallerThatAcceptsNoBytesIsDisconnected(t *testing.T) {
+	var ended chan error
+	h := func(w http.ResponseWriter, _ *http.Request) {
+		for {
+			if _, err := w.Write(make([]byte, 64<<10)); err != nil {
+				ended <- err
+				return
+			}
+		}
+	}
+	withServer(t, h, func(t *testing.T, c net.Conn) {
+		ended = make(chan error, 1)
+		_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+		require.NoError(t, err)
+		time.Sleep(30 * time.Second)
+		select {
+		case err := <-ended:
+			require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+		default:
+			require.Fail(t, "the handler is still writing")
+		}
+	})
+}
+
+// TestEarlierResponsesDoNotLimitTheNextOne guards against a write deadline that is left over from an earlier request of the
+// connection, which would cut off a handler that writes nothing itself.
+func TestEarlierResponsesDoNotLimitTheNextOne(t *testing.T) {
+	h := func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/long" {
+			time.Sleep(time.Minute)
+			return
+		}
+		_, _ = io.WriteString(w, "x")
+	}
+	withServer(t, h, func(t *testing.T, c net.Conn) {
+		r := bufio.NewReader(c)
+		for _, p := range []string{"/", "/long", "/", "/long"} {
+			_, err := fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: x\r\n\r\n", p)
+			require.NoError(t, err)
+			a, err := http.ReadResponse(r, nil)
+			require.NoError(t, err)
+			_, err = io.Copy(io.Discard, a.Body)
+			require.NoError(t, err)
+			time.Sleep(time.Minute)
+		}
+	})
+}
