link: Bound the memory of frames from other VMs

What callers would see: a VM that ends for lack of memory. A frame's buffer was made from its announced length: 14 bytes took 24 MB, eight connections more than the 184 MB of an entry VM, and a connection needs no credentials. Bodies that nobody serves or waits for were kept as well, and the bodies of requests in progress were bounded by nothing.

Change: buffers start at 16 KB and double with the bytes that arrive. All bodies of a Link, beyond 64 KB of one-way frames and responses, share 32 MB until they are handled. A request above that is skipped and refused (certainly not run), a one-way frame dropped, a response ends its connection, since its request has run. Unserved frames and responses without a call are skipped unread; a greeting has at most 256 bytes.

Ruled out: a lower frame size, which configurations of the maximum size need; waiting for memory, which delays the consensus frames behind a request.

--- a/internal/transport/link/frame.go
+++ b/internal/transport/link/frame.go
@@ -3,9 +3,6 @@
 import (
 	"bufio"
 	"encoding/binary"
-	"io"
-
-	"github.com/pkg/errors"
 )
 
 // maxFrameBytes is the maximum size of a frame without its length; a configuration of the maximum size fits.
@@ -64,18 +61,3 @@
 	_, err := w.Write(f.body)
 	return err
 }
-
-func readFrame(r *bufio.Reader) (frame, error) {
-	var h [4 + headerBytes]byte
-	if _, err := io.ReadFull(r, h[:]); err != nil {
-		return frame{}, err
-	}
-	n := binary.BigEndian.Uint32(h[:])
-	if n < headerBytes || n > maxFrameBytes {
-		return frame{}, errors.Errorf("frame length of %d bytes is out of range", n)
-	}
-	f := frame{frameType: frameType(h[4]), kind: Kind(h[5]), number: binary.BigEndian.Uint64(h[6:])}
-	f.body = make([]byte, n-headerBytes)
-	_, err := io.ReadFull(r, f.body)
-	return f, err
-}
--- a/internal/transport/link/link.go
+++ b/internal/transport/link/link.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sync/semaphore"
 
 	"snipetack/internal/transport/network"
 )
@@ -33,6 +34,7 @@
 	d         Deps
 	handlers  map[Kind]Handler
 	receivers map[Kind]Receiver
+	memory    *semaphore.Weighted // of the bodies of frames from other VMs
 
 	mu     sync.Mutex
 	peers  map[string]*peer // by address
@@ -41,7 +43,8 @@
 
 // New returns a Link; handlers and receivers must be registered before Serve.
 func New(d Deps) *Link {
-	return &Link{d: d, handlers: map[Kind]Handler{}, receivers: map[Kind]Receiver{}, peers: map[string]*peer{}}
+	return &Link{d: d, handlers: map[Kind]Handler{}, receivers: map[Kind]Receiver{}, memory: semaphore.NewWeighted(maxBodyMemory),
+		peers: map[string]*peer{}}
 }
 
 // Handle registers the Handler of requests of a kind.
@@ -115,7 +118,7 @@
 	}
 	p := l.peers[vm]
 	if p == nil {
-		p = newPeer(vm, l.d)
+		p = newPeer(vm, l.d, l.memory)
 		l.peers[vm] = p
 	}
 	return p
@@ -147,7 +150,7 @@
 // serveConnection processes the frames of one accepted connection until it ends.
 func (l *Link) serveConnection(ctx context.Context, c net.Conn) {
 	ctx, cancel := context.WithCancel(ctx)
-	s := newStream(c)
+	s := newStream(c, l.memory)
 	defer cancel()
 	defer s.close()
 	defer context.AfterFunc(ctx, s.close)()
@@ -157,36 +160,86 @@
 		if err := c.SetReadDeadline(time.Now().Add(acceptedIdleTimeout)); err != nil {
 			return
 		}
-		f, err := readFrame(s.r)
+		f, err := s.r.next()
 		if err != nil {
 			return
 		}
 		switch f.frameType {
 		case greeting:
-			from = string(f.body)
+			from, err = readAddress(s.r)
 		case probe:
 			s.enqueue(frame{frameType: echo, number: f.number})
+			err = s.r.skip()
 		case oneWay:
-			if h := l.receivers[f.kind]; h != nil {
-				h(from, f.body)
-			}
+			err = l.receive(s, from, f)
 		case request:
-			go l.handleRequest(ctx, s, from, f)
+			err = l.serveRequest(ctx, s, from, f)
+		default:
+			err = s.r.skip()
 		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// readAddress reads the body of a greeting.
+func readAddress(r *frameReader) (string, error) {
+	if r.left > maxAddress {
+		return "", errors.Errorf("address of %d bytes is too long", r.left)
+	}
+	b, release, err := r.body(maxAddress)
+	if err != nil {
+		return "", err
+	}
+	release()
+	return string(b), nil
+}
+
+// receive passes a one-way frame to its Receiver. It returns an error only if the connection failed.
+func (l *Link) receive(s *stream, from string, f frame) error {
+	h := l.receivers[f.kind]
+	if h == nil {
+		return s.r.skip()
 	}
+	b, release, err := s.r.body(freeBytes)
+	if errors.Is(err, errNoMemory) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	defer release()
+	h(from, b)
+	return nil
 }
 
-// handleRequest runs a request's Handler and queues the response.
-func (l *Link) handleRequest(ctx context.Context, s *stream, from string, f frame) {
+// serveRequest starts the Handler of a request, which queues the response. It returns an error only if the connection failed.
+func (l *Link) serveRequest(ctx context.Context, s *stream, from string, f frame) error {
+	refuse := func(reason string) {
+		s.enqueue(frame{frameType: failure, number: f.number, body: []byte(reason)})
+	}
 	h := l.handlers[f.kind]
 	if h == nil {
-		s.enqueue(frame{frameType: failure, number: f.number, body: []byte("the VM does not serve this")})
-		return
+		refuse("the VM does not serve this")
+		return s.r.skip()
+	}
+	b, release, err := s.r.body(0)
+	if errors.Is(err, errNoMemory) {
+		refuse(err.Error())
+		return nil
 	}
-	b, err := h(ctx, from, f.body)
 	if err != nil {
-		s.enqueue(frame{frameType: failure, number: f.number, body: []byte(err.Error())})
-		return
+		return err
 	}
-	s.enqueue(frame{frameType: response, number: f.number, body: b})
+	go func() {
+		defer release()
+		a, err := h(ctx, from, b)
+		if err != nil {
+			refuse(err.Error())
+			return
+		}
+		s.enqueue(frame{frameType: response, number: f.number, body: a})
+	}()
+	return nil
 }
--- a/internal/transport/link/link_test.go
+++ b/internal/transport/link/link_test.go
@@ -67,11 +67,13 @@
 	synctest.Test(t, func(t *testing.T) {
 		n := fakenet.New(1, fakenet.Link{Delay: delay})
 		a, b := start(t, n, "10.0.0.1"), start(t, n, "10.0.0.2")
+		defer func() {
+			a.stop()
+			b.stop()
+			n.Close()
+			time.Sleep(time.Minute) // lets the goroutines of watch end, which they do at their next tick
+		}()
 		f(n, a, b)
-		a.stop()
-		b.stop()
-		n.Close()
-		time.Sleep(time.Minute) // lets the goroutines of watch end, which they do at their next tick
 	})
 }
 
--- a/internal/transport/link/peer.go
+++ b/internal/transport/link/peer.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sync/semaphore"
 )
 
 // Timing of connections.
@@ -20,8 +21,9 @@
 
 // peer sends frames to one other VM over a connection that it dials when needed.
 type peer struct {
-	vm string
-	d  Deps
+	vm     string
+	d      Deps
+	memory *semaphore.Weighted // of the bodies of frames
 
 	mu           sync.Mutex
 	conn         *stream // nil while there is no connection
@@ -37,8 +39,8 @@
 	probeSent    time.Time             // when the unanswered probe was sent; zero when there is none
 }
 
-func newPeer(vm string, d Deps) *peer {
-	return &peer{vm: vm, d: d, calls: map[uint64]chan frame{}}
+func newPeer(vm string, d Deps, memory *semaphore.Weighted) *peer {
+	return &peer{vm: vm, d: d, memory: memory, calls: map[uint64]chan frame{}}
 }
 
 // enqueue queues a frame for sending and dials when there is no connection. It returns false when the frame is dropped: the
@@ -124,7 +126,7 @@
 		p.failCalls()
 		return
 	}
-	s := newStream(c)
+	s := newStream(c, p.memory)
 	p.conn = s
 	p.lastReceived = time.Now()
 	p.probeSent = time.Time{}
@@ -141,18 +143,42 @@
 func (p *peer) read(s *stream) {
 	defer p.connectionLost(s)
 	for {
-		f, err := readFrame(s.r)
+		f, err := s.r.next()
 		if err != nil {
 			return
 		}
-		p.mu.Lock()
-		p.lastReceived = time.Now()
-		p.probeSent = time.Time{}
-		if done, ok := p.calls[f.number]; ok && (f.frameType == response || f.frameType == failure) {
-			delete(p.calls, f.number)
-			done <- f
+		if p.awaited(f) {
+			var release func()
+			if f.body, release, err = s.r.body(freeBytes); err == nil {
+				release()
+			}
+		} else {
+			err = s.r.skip()
 		}
-		p.mu.Unlock()
+		if err != nil {
+			return
+		}
+		p.received(f)
+	}
+}
+
+// awaited reports whether a call waits for a frame.
+func (p *peer) awaited(f frame) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_, ok := p.calls[f.number]
+	return ok && (f.frameType == response || f.frameType == failure)
+}
+
+// received delivers a response to its call, if that still waits, and notes that the connection works.
+func (p *peer) received(f frame) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lastReceived = time.Now()
+	p.probeSent = time.Time{}
+	if done, ok := p.calls[f.number]; ok && (f.frameType == response || f.frameType == failure) {
+		delete(p.calls, f.number)
+		done <- f
 	}
 }
 
--- a/internal/transport/link/stream.go
+++ b/internal/transport/link/stream.go
@@ -5,6 +5,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"golang.org/x/sync/semaphore"
 )
 
 // Limits of a connection.
@@ -21,7 +23,7 @@
 // stream is one connection with its send queue.
 type stream struct {
 	c net.Conn
-	r *bufio.Reader
+	r *frameReader
 
 	mu     sync.Mutex
 	queue  []frame
@@ -30,8 +32,8 @@
 	wake   chan struct{} // capacity 1; signalled when there are frames to write or the stream is closed
 }
 
-func newStream(c net.Conn) *stream {
-	return &stream{c: c, r: bufio.NewReaderSize(c, bufferBytes), wake: make(chan struct{}, 1)}
+func newStream(c net.Conn, memory *semaphore.Weighted) *stream {
+	return &stream{c: c, r: newFrameReader(c, memory), wake: make(chan struct{}, 1)}
 }
 
 // enqueue queues a frame, or returns false when the queue is full or the stream is closed.
