link: Bound the requests of a connection that are in progress

What callers would see: a control or batch VM that slows down and ends when one broken peer sends requests faster than they are handled, or the handlers wait for a leader: each request took a goroutine of its own.

Change: 2,048 requests of a connection may be in progress, twice the frames that a sender queues. More are skipped and refused, which the senders take as certainly not run; one-way frames on the same connection go on.

Ruled out: reading no further while the bound is reached, which delays the consensus frames behind the requests.

--- a/internal/transport/link/bounds_test.go
+++ b/internal/transport/link/bounds_test.go
@@ -97,6 +97,7 @@
 		requests, size int
 		most           int64 // in progress
 	}{
+		"many":  {50_000, 1, 2048},
 		"large": {100, 1 << 20, 40},
 	}
 	for name, x := range table {
--- a/internal/transport/link/link.go
+++ b/internal/transport/link/link.go
@@ -147,10 +147,14 @@
 // connection every idleProbeInterval, so that a longer silence means that it has closed or lost the connection.
 const acceptedIdleTimeout = 3 * idleProbeInterval
 
+// maxRequests limits the requests of a connection that are in progress; more are refused.
+const maxRequests = 2048
+
 // serveConnection processes the frames of one accepted connection until it ends.
 func (l *Link) serveConnection(ctx context.Context, c net.Conn) {
 	ctx, cancel := context.WithCancel(ctx)
 	s := newStream(c, l.memory)
+	inProgress := make(chan struct{}, maxRequests)
 	defer cancel()
 	defer s.close()
 	defer context.AfterFunc(ctx, s.close)()
@@ -173,7 +177,7 @@
 		case oneWay:
 			err = l.receive(s, from, f)
 		case request:
-			err = l.serveRequest(ctx, s, from, f)
+			err = l.serveRequest(ctx, s, from, f, inProgress)
 		default:
 			err = s.r.skip()
 		}
@@ -214,8 +218,9 @@
 	return nil
 }
 
-// serveRequest starts the Handler of a request, which queues the response. It returns an error only if the connection failed.
-func (l *Link) serveRequest(ctx context.Context, s *stream, from string, f frame) error {
+// serveRequest starts the Handler of a request, which queues the response. It holds a place in inProgress until then. It returns
+// an error only if the connection failed.
+func (l *Link) serveRequest(ctx context.Context, s *stream, from string, f frame, inProgress chan struct{}) error {
 	refuse := func(reason string) {
 		s.enqueue(frame{frameType: failure, number: f.number, body: []byte(reason)})
 	}
@@ -224,8 +229,16 @@
 		refuse("the VM does not serve this")
 		return s.r.skip()
 	}
+	select {
+	case inProgress <- struct{}{}:
+	default:
+		refuse("too many requests in progress")
+		return s.r.skip()
+	}
+	leave := func() { <-inProgress }
 	b, release, err := s.r.body(0)
 	if errors.Is(err, errNoMemory) {
+		leave()
 		refuse(err.Error())
 		return nil
 	}
@@ -233,6 +246,7 @@
 		return err
 	}
 	go func() {
+		defer leave()
 		defer release()
 		a, err := h(ctx, from, b)
 		if err != nil {
