link: Bound the accepted connections

What callers would see: a VM that ends for lack of memory or descriptors while strangers open connections to the port for other VMs: each takes a descriptor, 32 KB of buffers and two goroutines for at least 30 s.

A connection's write buffer is made when it first sends.

Ruled out: closing the connection that was idle longest, which lets strangers cut off VMs.

--- a/internal/transport/link/bounds_test.go
+++ b/internal/transport/link/bounds_test.go
@@ -9,6 +9,7 @@
 	"runtime"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -175,6 +176,29 @@
 	}
 }
 
+// TestConnectionsDoNotFillTheMemory guards against strangers that open connections without end. Those of VMs that are connected
+// already go on.
+func TestConnectionsDoNotFillTheMemory(t *testing.T) {
+	world(t, func(n *fakenet.Net, a, b *vm) {
+		_, err := call(a, b.address, "first", time.Second)
+		require.NoError(t, err)
+		before := runtime.NumGoroutine()
+		for range 5000 {
+			dial(t, n, b.address)
+		}
+		synctest.Wait()
+		require.Less(t, runtime.NumGoroutine()-before, 5000)
+		_, err = call(a, b.address, "again", time.Second)
+		require.NoError(t, err)
+		time.Sleep(time.Minute) // until the idle connections are closed
+		c := dial(t, n, b.address)
+		_, err = c.Write(append(head(oneWay, byte(link.Load), 0, 1), 'x'))
+		require.NoError(t, err)
+		time.Sleep(time.Second)
+		require.Equal(t, 1, b.received())
+	})
+}
+
 // TestUnaskedResponsesTakeNoMemory guards against a called VM that sends responses without end which no call waits for.
 func TestUnaskedResponsesTakeNoMemory(t *testing.T) {
 	world(t, func(n *fakenet.Net, a, _ *vm) {
--- a/internal/transport/link/link.go
+++ b/internal/transport/link/link.go
@@ -85,10 +85,16 @@
 	return p.call(ctx, k, body)
 }
 
-// Serve accepts connections from other VMs until ctx ends; then it closes n and all connections.
+// maxConnections limits the accepted connections: each VM of the largest fleets has one, and those that it lost stay until
+// acceptedIdleTimeout.
+const maxConnections = 2048
+
+// Serve accepts connections from other VMs until ctx ends; then it closes n and all connections. Above maxConnections it closes
+// new ones immediately.
 func (l *Link) Serve(ctx context.Context, n net.Listener) error {
 	defer l.close()
 	defer context.AfterFunc(ctx, func() { _ = n.Close() })()
+	open := make(chan struct{}, maxConnections)
 	for {
 		c, err := n.Accept()
 		if ctx.Err() != nil {
@@ -97,7 +103,16 @@
 		if err != nil {
 			return errors.Wrap(err, "accepting a VM's connection")
 		}
-		go l.serveConnection(ctx, c)
+		select {
+		case open <- struct{}{}:
+		default:
+			_ = c.Close()
+			continue
+		}
+		go func() {
+			defer func() { <-open }()
+			l.serveConnection(ctx, c)
+		}()
 	}
 }
 
--- a/internal/transport/link/stream.go
+++ b/internal/transport/link/stream.go
@@ -61,12 +61,15 @@
 
 // write sends the queued frames, all of them in one batch, until the connection ends.
 func (s *stream) write() {
-	w := bufio.NewWriterSize(s.c, bufferBytes)
+	var w *bufio.Writer // created when first needed; many accepted connections send nothing
 	for range s.wake {
 		l, ok := s.take()
 		if !ok {
 			return
 		}
+		if w == nil {
+			w = bufio.NewWriterSize(s.c, bufferBytes)
+		}
 		if err := s.flush(w, l); err != nil {
 			s.close()
 			return
