link: Go on when a connection can't be accepted

What callers would see: an entry VM ends by itself, with all its requests, when it has no descriptor left for a moment, for instance because callers open many connections. Any error of Accept ended Serve, and that the VM.

Change: only a closed listener ends Serve; after any other error it accepts again after 50 ms, as net/http does.

Evidence: TestFailureToAcceptDoesNotEndTheVM (20 times EMFILE) failed before with "the VM has ended" and passes now (also with -race).

--- a/internal/transport/link/bounds_test.go
+++ b/internal/transport/link/bounds_test.go
@@ -5,9 +5,11 @@
 	"context"
 	"encoding/binary"
 	"io"
+	"log/slog"
 	"net"
 	"runtime"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -199,6 +201,45 @@
 	})
 }
 
+// fullListener fails to accept for a while, as when a process has no descriptor left.
+type fullListener struct {
+	net.Listener
+	failures int
+}
+
+func (l *fullListener) Accept() (net.Conn, error) {
+	if l.failures > 0 {
+		l.failures--
+		return nil, &net.OpError{Op: "accept", Err: syscall.EMFILE}
+	}
+	return l.Listener.Accept()
+}
+
+// TestFailureToAcceptDoesNotEndTheVM guards against the end of the process when it has no descriptor left for a moment.
+func TestFailureToAcceptDoesNotEndTheVM(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := fakenet.New(1, fakenet.Link{Delay: delay})
+		b := link.New(link.Deps{Self: "10.0.0.3:7000", Network: n.Host("10.0.0.3"), Log: slog.New(slog.DiscardHandler)})
+		l, err := n.Host("10.0.0.3").Listen("10.0.0.3:7000")
+		require.NoError(t, err)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		done := make(chan error, 1)
+		go func() { done <- b.Serve(ctx, &fullListener{l, 20}) }()
+		time.Sleep(10 * time.Second)
+		select {
+		case err := <-done:
+			require.Fail(t, "the VM has ended", "%v", err)
+		default:
+		}
+		c := dial(t, n, "10.0.0.3:7000")
+		awaitClosed(t, c, time.Minute)
+		cancel()
+		require.NoError(t, <-done)
+		time.Sleep(time.Minute)
+	})
+}
+
 // TestUnaskedResponsesTakeNoMemory guards against a called VM that sends responses without end which no call waits for.
 func TestUnaskedResponsesTakeNoMemory(t *testing.T) {
 	world(t, func(n *fakenet.Net, a, _ *vm) {
--- a/internal/transport/link/link.go
+++ b/internal/transport/link/link.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sync/semaphore"
 
+	"snipetack/internal/coordination/pause"
 	"snipetack/internal/transport/network"
 )
 
@@ -89,6 +90,9 @@
 // acceptedIdleTimeout.
 const maxConnections = 2048
 
+// acceptRetryDelay is the pause after a connection could not be accepted, for example because there is no free descriptor.
+const acceptRetryDelay = 50 * time.Millisecond
+
 // Serve accepts connections from other VMs until ctx ends; then it closes n and all connections. Above maxConnections it closes
 // new ones immediately.
 func (l *Link) Serve(ctx context.Context, n net.Listener) error {
@@ -100,9 +104,14 @@
 		if ctx.Err() != nil {
 			return nil
 		}
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return errors.Wrap(err, "accepting a VM's connection")
 		}
+		if err != nil {
+			l.d.Log.Warn("connection of a VM not accepted", "error", err)
+			pause.For(ctx, acceptRetryDelay)
+			continue
+		}
 		select {
 		case open <- struct{}{}:
 		default:
