node: Leave descriptors to upstreams and other VMs

What callers would see: requests that fail on an entry VM while strangers keep connections open there: each server accepted as many connections as the process has descriptors, so that none was left to dial an upstream or another VM. The setting max_files had no effect.

Change: each server keeps at most half of max_files connections open (2,100 of 4,200) and closes new ones above that.

--- a/internal/command/node/entry.go
+++ b/internal/command/node/entry.go
@@ -33,6 +33,7 @@
 	balancerWait  = 2500 * time.Millisecond // until the load balancer sends no more; it needs two failed checks, a second apart
 	listFraction  = 0.5                     // of the list's rate limit, for all entry VMs together; the rest is left to the control VMs
 	slackFraction = 0.9                     // of the quota slack, for the buckets of all entry VMs together
+	fileFraction  = 0.5                     // of the descriptors, for each server's connections; the rest is left to upstreams and other VMs
 )
 
 // entry is the role of an entry VM: it relays callers' requests to upstreams and forwards their jobs to the batch VMs.
@@ -203,7 +204,7 @@
 	}
 	s.BaseContext = func(net.Listener) context.Context { return context.WithoutCancel(ctx) }
 	defer context.AfterFunc(ctx, func() { _ = s.Close() })()
-	err = s.Serve(l)
+	err = s.Serve(httpserver.Limit(l, int(fileFraction*float64(n.Settings.MaxFiles))))
 	if errors.Is(err, http.ErrServerClosed) {
 		<-ctx.Done()
 		return nil
