frame: Allocate messages as their bytes arrive

What callers would see: a VM that ends for lack of memory. A message's buffer was made from its announced length, so that four bytes on each of the 4,096 streams that a peer may open took 8 MB each.

Change: the buffer starts at 16 KB and doubles with the bytes that arrive.

Evidence: TestAnnouncedMessagesTakeNoMemory (20 messages announced) failed before with 167,901,128 bytes allocated, bound 8,388,608, and passes now. TestMessagesOfAnySizeArrive passes before and after.

--- a/internal/protocol/frame/frame.go
+++ b/internal/protocol/frame/frame.go
@@ -11,6 +11,9 @@
 // MaxSize is the largest message in bytes.
 const MaxSize = 8 << 20
 
+// firstReadBytes is the size of the buffer for a message, which then grows with what arrives.
+const firstReadBytes = 16 << 10
+
 // ErrTooLarge reports a message above MaxSize.
 var ErrTooLarge = errors.New("message exceeds the size limit")
 
@@ -34,9 +37,18 @@
 	if n > MaxSize {
 		return nil, ErrTooLarge
 	}
-	b := make([]byte, n)
-	if _, err := io.ReadFull(r, b); err != nil {
-		return nil, errors.Wrap(err, "reading a message")
+	left := int(n)
+	b := make([]byte, 0, min(left, firstReadBytes))
+	for left > 0 {
+		if len(b) == cap(b) {
+			b = append(make([]byte, 0, min(2*cap(b), cap(b)+left)), b...)
+		}
+		n, err := io.ReadFull(r, b[len(b):cap(b)])
+		b = b[:len(b)+n]
+		left -= n
+		if err != nil {
+			return nil, errors.Wrap(err, "reading a message")
+		}
 	}
 	return b, nil
 }
