mesh: Bound messages in time and discard unknown ones

What callers would see: a VM whose goroutines grow while a broken peer opens streams and never finishes a request, up to 4,096 per connection for as long as that lives; and no consensus message at all from a peer that also sends a kind which this VM does not receive, as during an upgrade: the stream was left unread and used up the window of the connection.

Change: a request, and a one-way message once it began, have 30 s, as frames of package link; between two messages a stream may be idle. Messages of an unknown kind are read and discarded.

Evidence: TestUnfinishedCallsEnd failed before (open for the 2 minutes that it waits, bound 1 minute); TestUnknownOneWayMessagesDoNotBlockOthers failed before (no message of the known kind arrived). Both pass now, also with -race; TestIdleOneWayStreamsStayOpen passes before and after.

Ruled out: cancelling streams of an unknown kind, after which the sender opens a new one for each message.

--- a/internal/transport/mesh/mesh.go
+++ b/internal/transport/mesh/mesh.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"log/slog"
 	"maps"
 	"net"
@@ -23,6 +24,7 @@
 	idleTimeout      = 3 * time.Second        // a connection on which nothing arrives for so long is closed
 	keepAlive        = 750 * time.Millisecond // between pings on an unused connection, so that it stays open
 	handshakeTimeout = 2 * time.Second
+	messageTimeout   = 30 * time.Second       // for a peer to send a whole message once it began
 	redialDelay      = 200 * time.Millisecond // pause of a sender of one-way messages when its peer is unreachable
 )
 
@@ -212,19 +214,34 @@
 		if err != nil {
 			return
 		}
-		m.spawn(func() { m.receive(bufio.NewReader(q), from) })
+		m.spawn(func() { m.receive(q, from) })
 	}
 }
 
-// receive passes the messages of a one-way stream to the receiver of its kind. A stream of an unknown kind is ignored.
-func (m *Mesh) receive(r *bufio.Reader, from string) {
+// receive passes the messages of a one-way stream to the receiver of its kind. Those of an unknown kind are discarded, since
+// unread ones would use up the window of the connection.
+func (m *Mesh) receive(q *quic.ReceiveStream, from string) {
+	_ = q.SetReadDeadline(time.Now().Add(messageTimeout))
+	r := bufio.NewReader(q)
 	k, err := r.ReadByte()
-	if err != nil || int(k) >= frame.Count || m.receivers[k] == nil {
+	if err != nil {
+		q.CancelRead(codeAborted)
+		return
+	}
+	if int(k) >= frame.Count || m.receivers[k] == nil {
+		_ = q.SetReadDeadline(time.Time{})
+		_, _ = io.Copy(io.Discard, r)
 		return
 	}
 	for {
+		_ = q.SetReadDeadline(time.Time{}) // the stream may be idle between two messages
+		if _, err := r.Peek(1); err != nil {
+			return
+		}
+		_ = q.SetReadDeadline(time.Now().Add(messageTimeout))
 		b, err := frame.Read(r)
 		if err != nil {
+			q.CancelRead(codeAborted)
 			return
 		}
 		m.receivers[k](from, b)
@@ -234,12 +251,14 @@
 func (m *Mesh) serveStream(ctx context.Context, from string, q *quic.Stream) {
 	s := newStream(q)
 	defer s.Close()
+	s.SetReceiveTimeout(messageTimeout)
 	k, err := s.r.ReadByte()
 	if err != nil || int(k) >= frame.Count {
 		s.Abort()
 		return
 	}
 	if h := m.streams[k]; h != nil {
+		_ = q.SetReadDeadline(time.Time{})
 		if err := h(ctx, from, s); err != nil {
 			m.d.Log.Debug("stream ended", "peer", from, "kind", int(k), "error", err)
 		}
--- a/internal/transport/mesh/mesh_test.go
+++ b/internal/transport/mesh/mesh_test.go
@@ -149,3 +149,53 @@
 		require.Error(t, err)
 	})
 }
+
+// TestUnfinishedCallsEnd guards against peers that hold streams, and their goroutines, with a request that never ends.
+func TestUnfinishedCallsEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPair(t, fakenet.Link{Delay: time.Millisecond}, oneAuthority(t))
+		defer p.close()
+		s, err := p.a.Open(t.Context(), "b", frame.Propose)
+		require.NoError(t, err)
+		s.SetReceiveTimeout(2 * time.Minute)
+		began := time.Now()
+		_, err = s.Receive()
+		require.Error(t, err)
+		require.Less(t, time.Since(began), time.Minute)
+		b, err := p.call(time.Second, "x")
+		require.NoError(t, err)
+		require.Equal(t, "a:x", b)
+	})
+}
+
+// TestIdleOneWayStreamsStayOpen checks that the time limit of a message does not begin before its first byte.
+func TestIdleOneWayStreamsStayOpen(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPair(t, fakenet.Link{Delay: time.Millisecond}, oneAuthority(t))
+		defer p.close()
+		for range 3 {
+			p.a.Send("b", frame.Consensus, []byte("x"))
+			time.Sleep(5 * time.Minute)
+			require.Len(t, p.received, 1)
+			<-p.received
+		}
+	})
+}
+
+// TestUnknownOneWayMessagesDoNotBlockOthers guards against messages of kinds that a VM does not receive, as during an upgrade,
+// which fill the window of the connection.
+func TestUnknownOneWayMessagesDoNotBlockOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPair(t, fakenet.Link{Delay: time.Millisecond}, oneAuthority(t))
+		defer p.close()
+		for range 40 {
+			for _, k := range []frame.Kind{frame.Load, frame.Preempt, frame.BatchLoad} {
+				p.a.Send("b", k, make([]byte, 64<<10))
+			}
+		}
+		time.Sleep(10 * time.Second)
+		p.a.Send("b", frame.Consensus, make([]byte, 256<<10))
+		time.Sleep(10 * time.Second)
+		require.Len(t, p.received, 1)
+	})
+}
