--- a/internal/command/node/entry.go
+++ b/internal/command/node/entry.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"log/slog"
 	"maps"
 	"math/rand/v2"
 	"net"
@@ -18,6 +17,7 @@
 	"snipetack/internal/coordination/roster"
 	"snipetack/internal/coordination/share"
 	"snipetack/internal/transport/batchrun"
+	"snipetack/internal/transport/httpserver"
 	"snipetack/internal/transport/jobs"
 	"snipetack/internal/transport/link"
 	"snipetack/internal/transport/relay"
@@ -31,12 +31,10 @@
 	pruneInterval  = 5 * time.Second
 	listStale      = 4 * time.Second         // age of the list at which an entry VM reads it itself
 	balancerWait   = 2500 * time.Millisecond // until the load balancer sends no more; it needs two failed checks, a second apart
-	headerTimeout  = 10 * time.Second
-	idleTimeout    = 2 * time.Minute // longer than any configuration lets callers reuse a connection
-	maxHeaderBytes = 64 << 10
-	listFraction   = 0.5      // of the list's rate limit, for all entry VMs together; the rest is left to the control VMs
-	slackFraction  = 0.9      // of the quota slack, for the buckets of all entry VMs together
-	answerFraction = 1.0 / 16 // of the grace time: from the end of requests still in flight to that of the stop, to send their responses
+	listFraction   = 0.5                     // of the list's rate limit, for all entry VMs together; the rest is left to the control VMs
+	slackFraction  = 0.9                     // of the quota slack, for the buckets of all entry VMs together
+	fileFraction   = 0.5                     // of the descriptors, for each server's connections; the rest is left to upstreams and other VMs
+	answerFraction = 1.0 / 16                // of the grace time: from the end of requests still in flight to that of the stop, to send their responses
 )
 
 // entry is the role of an entry VM: it relays callers' requests to upstreams and forwards their jobs to the batch VMs.
@@ -80,7 +78,7 @@
 		Log:         n.Log,
 	})
 	e.jobs = jobs.NewClient(n.link, m)
-	e.server = newServer(n, n.Adapters.Callers(e.relay, e.jobs))
+	e.server = httpserver.New(n.Adapters.Callers(e.relay, e.jobs), n.Log)
 	e.server.BaseContext = func(net.Listener) context.Context { return e.requests }
 	e.drainer = newDrainer(e.server)
 	n.link.Receive(link.Hint, e.hint)
@@ -94,7 +92,7 @@
 func (e *entry) run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error {
-		l, err := e.n.Network.Listen(e.n.Settings.Callers)
+		l, err := listen(e.n, e.n.Settings.Callers)
 		if err != nil {
 			return err
 		}
@@ -211,27 +209,25 @@
 	}
 }
 
-// newServer returns an HTTP server whose own errors, such as malformed requests, go to the debug log.
-func newServer(n *Node, h http.Handler) *http.Server {
-	return &http.Server{
-		Handler:           h,
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		ErrorLog:          slog.NewLogLogger(n.Log.Handler(), slog.LevelDebug),
-	}
-}
-
 // serveHTTP serves a handler at an address until ctx ends; "" serves none.
 func serveHTTP(ctx context.Context, n *Node, address string, h http.Handler) error {
 	if address == "" {
 		return nil
 	}
-	l, err := n.Network.Listen(address)
+	l, err := listen(n, address)
 	if err != nil {
 		return err
 	}
-	return serve(ctx, l, newServer(n, h))
+	return serve(ctx, l, httpserver.New(h, n.Log))
+}
+
+// listen returns a listener for an HTTP server, whose connections use at most fileFraction of the descriptors.
+func listen(n *Node, address string) (net.Listener, error) {
+	l, err := n.Network.Listen(address)
+	if err != nil {
+		return nil, err
+	}
+	return httpserver.Limit(l, int(fileFraction*float64(n.Settings.MaxFiles))), nil
 }
 
 // serve runs a server until ctx ends, also when its listener ends with http.ErrServerClosed before, so that the other parts of
--- a/internal/transport/link/link.go
+++ b/internal/transport/link/link.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sync/semaphore"
 
 	"snipetack/internal/coordination/pause"
 	"snipetack/internal/transport/network"
@@ -34,6 +35,7 @@
 	d         Deps
 	handlers  map[Kind]Handler
 	receivers map[Kind]Receiver
+	memory    *semaphore.Weighted // of the bodies of frames from other VMs
 
 	mu     sync.Mutex
 	peers  map[string]*peer // by address
@@ -42,7 +44,8 @@
 
 // New returns a Link; handlers and receivers must be registered before Serve.
 func New(d Deps) *Link {
-	return &Link{d: d, handlers: map[Kind]Handler{}, receivers: map[Kind]Receiver{}, peers: map[string]*peer{}}
+	return &Link{d: d, handlers: map[Kind]Handler{}, receivers: map[Kind]Receiver{}, memory: semaphore.NewWeighted(maxBodyMemory),
+		peers: map[string]*peer{}}
 }
 
 // Handle registers the Handler of requests of a kind.
@@ -83,14 +86,19 @@
 	return p.call(ctx, k, body)
 }
 
-// acceptRetryDelay is the time until the next attempt after a connection could not be accepted.
+// maxConnections limits the accepted connections: each VM of the largest fleets has one, and those that it lost stay until
+// acceptedIdleTimeout.
+const maxConnections = 2048
+
+// acceptRetryDelay is the pause after a connection could not be accepted, for example because there is no free descriptor.
 const acceptRetryDelay = 50 * time.Millisecond
 
-// Serve accepts connections from other VMs until ctx ends; then it closes n and all connections. It goes on after an error for
-// lack of resources, such as file descriptors.
+// Serve accepts connections from other VMs until ctx ends; then it closes n and all connections. Above maxConnections it closes
+// new ones immediately.
 func (l *Link) Serve(ctx context.Context, n net.Listener) error {
 	defer l.close()
 	defer context.AfterFunc(ctx, func() { _ = n.Close() })()
+	open := make(chan struct{}, maxConnections)
 	for {
 		c, err := n.Accept()
 		if ctx.Err() != nil {
@@ -100,11 +108,20 @@
 			return errors.Wrap(err, "accepting a VM's connection")
 		}
 		if err != nil {
-			l.d.Log.Warn("accepting a VM's connection failed; retrying", "error", err)
+			l.d.Log.Warn("connection of a VM not accepted", "error", err)
 			pause.For(ctx, acceptRetryDelay)
 			continue
 		}
-		go l.serveConnection(ctx, c)
+		select {
+		case open <- struct{}{}:
+		default:
+			_ = c.Close()
+			continue
+		}
+		go func() {
+			defer func() { <-open }()
+			l.serveConnection(ctx, c)
+		}()
 	}
 }
 
@@ -125,7 +142,7 @@
 	}
 	p := l.peers[vm]
 	if p == nil {
-		p = newPeer(vm, l.d)
+		p = newPeer(vm, l.d, l.memory)
 		l.peers[vm] = p
 	}
 	return p
@@ -154,10 +171,14 @@
 // connection every idleProbeInterval, so that a longer silence means that it has closed or lost the connection.
 const acceptedIdleTimeout = 3 * idleProbeInterval
 
+// maxRequests limits the requests of a connection that are in progress; more are refused.
+const maxRequests = 2048
+
 // serveConnection processes the frames of one accepted connection until it ends.
 func (l *Link) serveConnection(ctx context.Context, c net.Conn) {
 	ctx, cancel := context.WithCancel(ctx)
-	s := newStream(c)
+	s := newStream(c, l.memory)
+	inProgress := make(chan struct{}, maxRequests)
 	defer cancel()
 	defer s.close()
 	defer context.AfterFunc(ctx, s.close)()
@@ -167,36 +188,96 @@
 		if err := c.SetReadDeadline(time.Now().Add(acceptedIdleTimeout)); err != nil {
 			return
 		}
-		f, err := readFrame(s.r)
+		f, err := s.r.next()
 		if err != nil {
 			return
 		}
 		switch f.frameType {
 		case greeting:
-			from = string(f.body)
+			from, err = readAddress(s.r)
 		case probe:
 			s.enqueue(frame{frameType: echo, number: f.number})
+			err = s.r.skip()
 		case oneWay:
-			if h := l.receivers[f.kind]; h != nil {
-				h(from, f.body)
-			}
+			err = l.receive(s, from, f)
 		case request:
-			go l.handleRequest(ctx, s, from, f)
+			err = l.serveRequest(ctx, s, from, f, inProgress)
+		default:
+			err = s.r.skip()
+		}
+		if err != nil {
+			return
 		}
 	}
 }
 
-// handleRequest runs a request's Handler and queues the response.
-func (l *Link) handleRequest(ctx context.Context, s *stream, from string, f frame) {
+// readAddress reads the body of a greeting.
+func readAddress(r *frameReader) (string, error) {
+	if r.left > maxAddress {
+		return "", errors.Errorf("address of %d bytes is too long", r.left)
+	}
+	b, release, err := r.body(maxAddress)
+	if err != nil {
+		return "", err
+	}
+	release()
+	return string(b), nil
+}
+
+// receive passes a one-way frame to its Receiver. It returns an error only if the connection failed.
+func (l *Link) receive(s *stream, from string, f frame) error {
+	h := l.receivers[f.kind]
+	if h == nil {
+		return s.r.skip()
+	}
+	b, release, err := s.r.body(freeBytes)
+	if errors.Is(err, errNoMemory) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	defer release()
+	h(from, b)
+	return nil
+}
+
+// serveRequest starts the Handler of a request, which queues the response. It holds a place in inProgress until then. It returns
+// an error only if the connection failed.
+func (l *Link) serveRequest(ctx context.Context, s *stream, from string, f frame, inProgress chan struct{}) error {
+	refuse := func(reason string) {
+		s.enqueue(frame{frameType: failure, number: f.number, body: []byte(reason)})
+	}
 	h := l.handlers[f.kind]
 	if h == nil {
-		s.enqueue(frame{frameType: failure, number: f.number, body: []byte("the VM does not serve this")})
-		return
+		refuse("the VM does not serve this")
+		return s.r.skip()
+	}
+	select {
+	case inProgress <- struct{}{}:
+	default:
+		refuse("too many requests in progress")
+		return s.r.skip()
+	}
+	leave := func() { <-inProgress }
+	b, release, err := s.r.body(0)
+	if errors.Is(err, errNoMemory) {
+		leave()
+		refuse(err.Error())
+		return nil
 	}
-	b, err := h(ctx, from, f.body)
 	if err != nil {
-		s.enqueue(frame{frameType: failure, number: f.number, body: []byte(err.Error())})
-		return
+		return err
 	}
-	s.enqueue(frame{frameType: response, number: f.number, body: b})
+	go func() {
+		defer leave()
+		defer release()
+		a, err := h(ctx, from, b)
+		if err != nil {
+			refuse(err.Error())
+			return
+		}
+		s.enqueue(frame{frameType: response, number: f.number, body: a})
+	}()
+	return nil
 }
