batches: Bound the response to an item

What callers would see: an upstream in trouble that streams without end grows the memory of a VM until it ends, by the text or by chunks after a missing one. Comments or repeated chunks without end, or a body that never completes, hold the item and its slot for good: an item has no deadline.

Cause: only a line had a bound (8 MiB), the text, the number of chunks and the chunks that wait for an earlier one had none. Each line reset the progress timer, and the timer was stopped for a body that is not streamed.

Change: 1 MiB for a line, 8 MiB for the text, 1,048,576 chunks, 256 chunks or 4 MiB after a missing one, 32 MiB and 10 minutes to the next chunk in order, 10 minutes for a body that is not streamed. Beyond a bound the connection is replaced as a broken one, and after three without progress the run ends as broken.

Ruled out: not counting comments as progress, since engines send them while a request waits; a total time for a stream, since a long one is sound.

Not bounded in time: one chunk in each progress timeout, which can't be told from a slow sound stream, holds the slot until the bounds in bytes.

--- a/internal/transport/batches/answer.go
+++ b/internal/transport/batches/answer.go
@@ -17,6 +17,15 @@
 // doneMarker is the data of the last event of a complete stream.
 const doneMarker = "[DONE]"
 
+// Bounds of a stream.
+const (
+	maxChunks        = 1 << 20
+	maxEarlyChunks   = 256             // kept because an earlier one is missing
+	maxEarlyBytes    = 4 << 20         // of these chunks
+	maxStreamLine    = 1 << 20         // bytes
+	maxWithoutChunks = 4 * maxResponse // bytes until the next chunk in order; an upstream may repeat the earlier ones
+)
+
 // resultLine is a line of a job's output or error file.
 type resultLine struct {
 	ID       string        `json:"id"`
@@ -59,11 +68,18 @@
 	stream       bool
 	chunks       int // received without a gap, those of earlier runs included
 	text         strings.Builder
-	outOfOrder   map[int]chat.Completion // chunks received before their predecessors, by number from 1
+	outOfOrder   map[int]earlyChunk // chunks received before their predecessors, by number from 1
+	earlyBytes   int                // of outOfOrder
 	last         chat.Completion
 	finishReason string
 }
 
+// earlyChunk is a chunk that was received before its predecessors.
+type earlyChunk struct {
+	chat.Completion
+	bytes int
+}
+
 // streamable reports whether an item can be streamed: it is a chat completion, and no field of its request asks for a
 // response that the assembled text chunks can't represent.
 func streamable(endpoint string, fields map[string]json.RawMessage) bool {
@@ -79,7 +95,7 @@
 }
 
 func newItemResponse(t batch.Task) *itemResponse {
-	a := &itemResponse{task: t, requestBody: t.Body, chunks: t.Partial.Chunks, outOfOrder: map[int]chat.Completion{}}
+	a := &itemResponse{task: t, requestBody: t.Body, chunks: t.Partial.Chunks, outOfOrder: map[int]earlyChunk{}}
 	a.text.WriteString(t.Partial.Text)
 	var m map[string]json.RawMessage
 	if json.Unmarshal(t.Body, &m) != nil || !streamable(t.Job.Endpoint, m) {
@@ -117,15 +133,18 @@
 
 // readStream reads a stream of numbered chunks and calls progress for each line.
 //
-// It returns false when the stream ends early; the chunks received so far are kept, so that another connection can
-// resume after them. An event without an id counts as the next chunk.
+// It returns false when the stream ends early or exceeds a bound; the chunks received so far are kept, so that another
+// connection can resume after them. An event without an id counts as the next chunk.
 func (a *itemResponse) readStream(r io.Reader, progress func()) (batch.Ending, bool) {
 	s := bufio.NewScanner(r)
-	s.Buffer(nil, maxResponse)
-	n := 0
+	s.Buffer(nil, maxStreamLine)
+	n, idle := 0, 0
 	for s.Scan() {
 		progress()
 		l := s.Bytes()
+		if idle += len(l) + 1; idle > maxWithoutChunks {
+			return batch.Ending{}, false
+		}
 		if v, ok := bytes.CutPrefix(l, []byte("id:")); ok {
 			n, _ = strconv.Atoi(string(bytes.TrimSpace(v)))
 			continue
@@ -147,26 +166,37 @@
 		if n == 0 {
 			n = a.chunks + 1
 		}
-		a.addChunk(n, c)
-		n = 0
+		before := a.chunks
+		if !a.addChunk(n, c, len(v)) {
+			return batch.Ending{}, false
+		}
+		if n = 0; a.chunks > before {
+			idle = 0
+		}
 	}
 	return batch.Ending{}, false
 }
 
-// addChunk adds chunk n and the out-of-order chunks that follow it; a chunk received before is dropped.
-func (a *itemResponse) addChunk(n int, c chat.Completion) {
+// addChunk adds chunk n, of so many bytes, and the out-of-order chunks that follow it; a chunk received before is dropped. It
+// returns false when the chunks, the text or the out-of-order chunks exceed their bounds.
+func (a *itemResponse) addChunk(n int, c chat.Completion, size int) bool {
 	if n <= a.chunks {
-		return
+		return true
 	}
-	a.outOfOrder[n] = c
+	a.earlyBytes += size - a.outOfOrder[n].bytes
+	a.outOfOrder[n] = earlyChunk{c, size}
 	for {
 		c, ok := a.outOfOrder[a.chunks+1]
 		if !ok {
-			return
+			return len(a.outOfOrder) <= maxEarlyChunks && a.earlyBytes <= maxEarlyBytes
+		}
+		if a.chunks == maxChunks || a.text.Len()+c.bytes > maxResponse {
+			return false
 		}
 		a.chunks++
 		delete(a.outOfOrder, a.chunks)
-		a.last = c
+		a.earlyBytes -= c.bytes
+		a.last = c.Completion
 		for _, x := range c.Choices {
 			if x.Delta != nil {
 				a.text.WriteString(x.Delta.Content)
--- a/internal/transport/batches/runner.go
+++ b/internal/transport/batches/runner.go
@@ -21,9 +21,10 @@
 const (
 	cancelTimeout          = time.Second
 	loadTimeout            = time.Second
-	maxResponse            = 8 << 20          // bytes of a response that is not streamed, or of a line of a stream
+	maxResponse            = 8 << 20          // bytes of a response that is not streamed, or of the text of a stream
 	maxStalls              = 3                // consecutive connections, of which at most the first received a new chunk
 	defaultProgressTimeout = 10 * time.Second // if the service sets none
+	maxWithoutProgress     = 10 * time.Minute // of a body, if the upstream sends something, but no chunk or no complete response
 )
 
 // CallerProvider makes one attempt at an upstream.
@@ -154,10 +155,18 @@
 		return classifyError(t, p)
 	}
 	if !a.stream {
-		w.Stop() // a response that is not streamed shows no progress until it is complete
+		w.Reset(maxWithoutProgress) // a response that is not streamed shows no progress until it is complete
 		return a.readComplete(p.Body)
 	}
-	return a.readStream(p.Body, func() { w.Reset(d) })
+	n, at := a.chunks, time.Now()
+	return a.readStream(p.Body, func() {
+		if a.chunks > n {
+			n, at = a.chunks, time.Now()
+		}
+		if time.Since(at) < maxWithoutProgress {
+			w.Reset(d)
+		}
+	})
 }
 
 // progressTimeout returns how long the upstream may send nothing, as its service sets it or the default.
