relay: Forward a long response of unknown length

What callers saw: a sound response of more than 256 KiB without a Content-Length was answered as upstream_broken (4003, may have run), on a safe route after a second run.

Cause: only a response that states its length was copied while it arrives; any other that exceeded the bound of what is read before its first byte is sent counted as broken off.

Change: beyond the bound what was read and the rest are copied. A response that breaks off then aborts the caller's connection, as one with a length does. At most 256 KiB are kept, as before.

Evidence: TestLongResponseOfUnknownLengthIsComplete failed before with "Code:4003, Ran:unknown, Detail:the answer broke off".

Ruled out: a larger bound, which takes memory for each request.

--- a/internal/transport/relay/exchange.go
+++ b/internal/transport/relay/exchange.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -264,10 +265,13 @@
 // read completely before its first byte is sent, so that a truncated one can be repeated.
 func (x *exchange) relayResponse(c dispatch.Choice, a *Response) verdict {
 	if !a.Signed || a.Length > maxBufferedBytes {
-		return x.copyResponse(a)
+		return x.copyResponse(a, a.Body)
 	}
 	b, err := io.ReadAll(io.LimitReader(a.Body, maxBufferedBytes+1))
-	if err != nil || len(b) > maxBufferedBytes {
+	if err == nil && len(b) > maxBufferedBytes {
+		return x.copyResponse(a, io.MultiReader(bytes.NewReader(b), a.Body))
+	}
+	if err != nil {
 		x.reason = "the answer broke off"
 		x.exclude = append(x.exclude, c.ID)
 		return broken
@@ -281,14 +285,14 @@
 
 // copyResponse sends a long response to the caller while it arrives; if it is truncated, the caller's connection is aborted.
 // An unsigned response is not sent.
-func (x *exchange) copyResponse(a *Response) verdict {
+func (x *exchange) copyResponse(a *Response, body io.Reader) verdict {
 	if !a.Signed {
 		x.reason = "the answer has no signature"
 		return broken
 	}
 	x.headerSent = true
 	x.s.Begin(a.Status, a.Header, a.Length)
-	if _, err := io.CopyBuffer(onlyWriter{x.s}, a.Body, make([]byte, chunkBytes)); err != nil {
+	if _, err := io.CopyBuffer(onlyWriter{x.s}, body, make([]byte, chunkBytes)); err != nil {
 		x.s.Abort()
 	}
 	return done
--- a/internal/transport/relay/relay_test.go
+++ b/internal/transport/relay/relay_test.go
@@ -336,6 +336,23 @@
 	require.Equal(t, text, got.body.String())
 }
 
+// TestLongResponseOfUnknownLengthIsComplete sends a body that is too long to be read completely before its first byte is sent.
+func TestLongResponseOfUnknownLengthIsComplete(t *testing.T) {
+	text := strings.Repeat("x", 1<<20)
+	for _, k := range []plan.Kind{plan.Safe, plan.Unsafe} {
+		u := &upstreams{reactions: []reaction{{body: text}}}
+		got := serve(t, newPlan(k, 2, false), u, nil)
+		require.Nil(t, got.failure)
+		require.Len(t, got.body.String(), len(text))
+		require.Len(t, u.sent, 1)
+		require.False(t, got.aborted)
+		u = &upstreams{reactions: []reaction{{body: text, end: errReset}}}
+		got = serve(t, newPlan(k, 2, false), u, nil)
+		require.True(t, got.aborted, "the caller must not take a truncated response for complete")
+		require.Len(t, u.sent, 1)
+	}
+}
+
 // TestUpstreamThatSendsGarbageAttractsNoLoad lets the upstream that got the first request fail all its requests immediately
 // with bytes that are no response.
 func TestUpstreamThatSendsGarbageAttractsNoLoad(t *testing.T) {
