httpconn: Count only heads against their bound

What callers would see since: a request that meets more than seven responses to earlier requests, each with a long body, fails with "the head exceeds 65536 bytes", though all of them are sound.

Cause: the bound counted what was read from the connection, so the part of a body that the buffer reads ahead (up to 8 KiB) counted as head.

Change: the bytes that are buffered after a head are not counted.

Evidence: TestSoundResponsesStayWithinTheBounds/responses_to_be_discarded (20 responses of 16 KiB, 10 ms apart) failed before; the cases without end still fail with a BadResponse.

--- a/internal/transport/httpconn/pool.go
+++ b/internal/transport/httpconn/pool.go
@@ -256,11 +256,15 @@
 	return nil, BadResponse{errors.Errorf("more than %d interim responses and responses to earlier requests", maxSkipped)}
 }
 
-// readHead reads one head and reduces left by the bytes that it took from the connection. The wait for its first byte is
-// bounded only by the request's context.
+// readHead reads one head and reduces left by its length. The wait for its first byte is bounded only by the request's
+// context.
 func (c *conn) readHead(r *http.Request, left *int64) (*http.Response, error) {
 	c.in.left = *left
-	defer func() { *left, c.in.left = c.in.left, unlimited }()
+	buffered := c.r.Buffered()
+	defer func() {
+		*left = max(0, c.in.left+int64(c.r.Buffered()-buffered))
+		c.in.left = unlimited
+	}()
 	if _, err := c.r.Peek(1); err == nil {
 		_ = c.SetReadDeadline(time.Now().Add(headTimeout))
 	}
--- a/internal/transport/httpconn/pool_test.go
+++ b/internal/transport/httpconn/pool_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -322,6 +323,8 @@
 		"long body without a length": {parts: []string{"HTTP/1.1 200 OK\r\nId: x\r\n\r\n" + long}, body: len(long)},
 		"long body with a length":    {parts: []string{fmt.Sprintf("HTTP/1.1 200 OK\r\nId: x\r\nContent-Length: %d\r\n\r\n%s", len(long), long)}, body: len(long)},
 		"slow body":                  {parts: []string{"HTTP/1.1 200 OK\r\nId: x\r\nContent-Length: 3\r\n\r\n", "a", "b", "c"}, pause: 7 * time.Second, body: 3},
+		"responses to be discarded": {parts: append(slices.Repeat([]string{
+			fmt.Sprintf("HTTP/1.1 200 OK\r\nId: y\r\nContent-Length: %d\r\n\r\n%s", 16<<10, long[:16<<10])}, 20), okResponse("x")), pause: 10 * time.Millisecond, body: 2},
 		"long response to be discarded": {parts: []string{
 			fmt.Sprintf("HTTP/1.1 200 OK\r\nId: y\r\nContent-Length: %d\r\n\r\n%s", 256<<10, long[:256<<10]), okResponse("x")}, pause: 5 * time.Second, body: 2},
 	}
@@ -343,6 +346,7 @@
 					b, err = io.ReadAll(a.Body)
 					_ = a.Body.Close()
 				}
+				time.Sleep(time.Hour) // the upstream ends also if the call failed
 			})
 			require.NoError(t, err)
 			require.Len(t, b, x.body)
