relay: Don't end the VM when a caller reads a stream slowly

Cause: the gap timer ran while a write to the caller blocked. When it had expired, bytes that were already read from the connection reset it, and the next slow write let it expire a second time: close of the channel that was closed already, in the goroutine of a timer, where no server recovers a panic.

Evidence: the new test failed before the change: panic: close of closed channel relay.(*exchange).watchGap.func1() Now the caller gets all 4,000 events from one attempt.

A watchdog replaces the timer. It runs only while the upstream is read, cancels an attempt at most once, and not after its wait has ended.

A caller that accepts nothing is still bounded by the deadline of its request.

--- a/internal/transport/relay/relay_test.go
+++ b/internal/transport/relay/relay_test.go
@@ -94,10 +94,11 @@
 	failure *result.Failure
 	aborted bool
 	took    time.Duration
+	slow    time.Duration // how long each Write blocks
 }
 
 func (c *caller) Begin(status int, h http.Header, _ int64) { c.status, c.header = status, h }
-func (c *caller) Write(b []byte) (int, error)              { return c.body.Write(b) }
+func (c *caller) Write(b []byte) (int, error)              { time.Sleep(c.slow); return c.body.Write(b) }
 func (c *caller) Flush() error                             { return nil }
 func (c *caller) Refuse(f *result.Failure)                 { c.failure = f }
 func (c *caller) Abort()                                   { c.aborted = true }
@@ -129,6 +130,12 @@
 // serve sends one request through a relay with three upstreams; change may modify the request before.
 func serve(t *testing.T, p *plan.Plan, u *upstreams, change func(q *relay.Request)) *caller {
 	c := &caller{}
+	serveTo(t, c, p, u, change)
+	return c
+}
+
+// serveTo is serve for a caller.
+func serveTo(t *testing.T, c *caller, p *plan.Plan, u *upstreams, change func(q *relay.Request)) {
 	synctest.Test(t, func(*testing.T) {
 		pool := dispatch.New(dispatch.Deps{Zone: "a", Connected: func(string) bool { return false }, OnPreemption: func(dispatch.Choice) {}})
 		var l []roster.Upstream
@@ -148,7 +155,6 @@
 		c.took = time.Since(began)
 		require.Empty(t, pool.InFlight(), "every slot is released")
 	})
-	return c
 }
 
 func events(from, to int) string {
@@ -276,6 +282,17 @@
 	}
 }
 
+// TestSlowCallerIsNoGapOfTheUpstream guards against a panic, which ends the VM, when a caller reads more slowly than the gap
+// timeout: the time in which a write blocks counted as a gap, and one stream could have several.
+func TestSlowCallerIsNoGapOfTheUpstream(t *testing.T) {
+	c := &caller{slow: 400 * time.Millisecond}
+	u := &upstreams{reactions: []reaction{{body: events(1, 4000)}}}
+	serveTo(t, c, newPlan(plan.Stream, 2, true), u, nil)
+	require.False(t, c.aborted)
+	require.Equal(t, events(1, 4000), c.body.String())
+	require.Len(t, u.sent, 1)
+}
+
 func TestResumedStreamKeepsTheFirstHeader(t *testing.T) {
 	u := &upstreams{reactions: []reaction{{body: events(1, 2), stall: true}, {body: events(3, 5)}}}
 	got := serve(t, newPlan(plan.Stream, 2, true), u, nil)
--- a/internal/transport/relay/stream.go
+++ b/internal/transport/relay/stream.go
@@ -23,15 +23,15 @@
 		return broken
 	}
 	w := x.watchGap(cancel, c)
-	defer w.stop()
 	e := NewEvents(x.lastEvent)
 	g := gaps{previous: time.Now()}
 	defer func() { x.logLate(c, &g) }()
 	b := make([]byte, chunkBytes)
 	for {
+		w.start()
 		n, err := a.Body.Read(b)
+		silent := w.stop()
 		if n > 0 {
-			w.reset()
 			g.record(time.Now())
 			x.r.d.Pool.Responded(time.Now(), c.ID)
 			if v, ok := x.relayEvents(a, e, b[:n]); !ok {
@@ -41,8 +41,8 @@
 		if err == io.EOF && e.Rest() == 0 {
 			return x.finish(a)
 		}
-		if err != nil {
-			return x.interrupted(ctx, c, w.hasFired())
+		if err != nil || silent {
+			return x.interrupted(ctx, c, silent)
 		}
 	}
 }
@@ -128,51 +128,17 @@
 	return broken
 }
 
-// gapWatch cancels an idle stream that another upstream may resume; limit is the longest idle time. Without a timer it does
-// nothing.
-type gapWatch struct {
-	t     *time.Timer
-	limit time.Duration
-	fired chan struct{}
-}
-
-// watchGap returns a started gapWatch. If the upstream sent bytes of other responses meanwhile, the stream is cancelled only
-// within the retry budget; otherwise the upstream is taken as unresponsive and the budget is not needed.
-func (x *exchange) watchGap(cancel context.CancelFunc, c dispatch.Choice) *gapWatch {
-	w := &gapWatch{fired: make(chan struct{})}
+// watchGap returns a watchdog that cancels an idle stream which another upstream may resume. If the upstream sent bytes of other
+// responses meanwhile, the stream is cancelled only within the retry budget; otherwise the upstream is taken as unresponsive and
+// the budget is not needed.
+func (x *exchange) watchGap(cancel context.CancelFunc, c dispatch.Choice) *watchdog {
 	if !x.repeatable() || x.upstreamsExhausted() || x.a.Route.GapLimit <= 0 {
-		return w
-	}
-	w.limit = max(minGapTimeout, time.Duration(gapTimeoutFraction*float64(x.a.Route.GapLimit)))
-	w.t = time.AfterFunc(w.limit, func() {
-		if x.r.d.Pool.RespondedSince(c.ID, time.Now().Add(-w.limit)) && !x.r.d.RetryPolicy.TakeRetry() {
-			return
-		}
-		close(w.fired)
-		cancel()
-	})
-	return w
-}
-
-func (w *gapWatch) reset() {
-	if w.t != nil {
-		w.t.Reset(w.limit)
-	}
-}
-
-func (w *gapWatch) stop() {
-	if w.t != nil {
-		w.t.Stop()
-	}
-}
-
-func (w *gapWatch) hasFired() bool {
-	select {
-	case <-w.fired:
-		return true
-	default:
-		return false
+		return &watchdog{}
 	}
+	limit := max(minGapTimeout, time.Duration(gapTimeoutFraction*float64(x.a.Route.GapLimit)))
+	return &watchdog{limit: limit, cancel: cancel, expire: func() bool {
+		return !x.r.d.Pool.RespondedSince(c.ID, time.Now().Add(-limit)) || x.r.d.RetryPolicy.TakeRetry()
+	}}
 }
 
 // Events splits a stream into complete events and checks that their ids are consecutive. Events without an id are passed
--- /dev/null
+++ b/internal/transport/relay/watchdog.go
@@ -0,0 +1,59 @@
+package relay
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// watchdog cancels an attempt when one of its waits takes longer than a limit. Its zero value never does.
+type watchdog struct {
+	limit  time.Duration      // 0 is none
+	expire func() bool        // reports whether to cancel after a wait of limit; it must not use the watchdog
+	cancel context.CancelFunc // of the attempt
+
+	mu      sync.Mutex
+	timer   *time.Timer
+	waiting bool
+	until   time.Time // when the current wait expires
+	fired   bool
+}
+
+// start begins a wait.
+func (w *watchdog) start() {
+	if w.limit <= 0 {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.waiting = true
+	w.until = time.Now().Add(w.limit)
+	if w.timer == nil {
+		w.timer = time.AfterFunc(w.limit, w.check)
+		return
+	}
+	w.timer.Reset(w.limit)
+}
+
+// stop ends a wait and reports whether the watchdog has cancelled the attempt. It does not cancel it after stop.
+func (w *watchdog) stop() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.waiting = false
+	if w.timer != nil {
+		w.timer.Stop()
+	}
+	return w.fired
+}
+
+func (w *watchdog) check() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.waiting || w.fired || time.Now().Before(w.until) {
+		return
+	}
+	if w.expire() {
+		w.fired = true
+		w.cancel()
+	}
+}
