relay: Repeat an attempt whose header arrives while it is cancelled

Cause: when the first-byte timer had expired, its function ran beside the request. If the header arrived just then, the attempt went on with a connection that was being closed, and the end of the attempt's context was taken for that of the caller's request: no further attempt. On a busy VM the two are milliseconds apart.

Evidence: the new test failed before the change: Expected nil, but got: &result.Failure{Code:4003, Ran:"unknown", Detail:"the stream broke off"} stream with an event: aborted: Should be false

The first byte is now watched by a watchdog, which does not cancel after the wait. If it has cancelled, the attempt counts as broken even with a header, and the request is repeated within the retry that the timeout has taken from the budget. Only the end of the caller's own context ends a request.

--- a/internal/transport/relay/exchange.go
+++ b/internal/transport/relay/exchange.go
@@ -156,13 +156,19 @@
 	if left < minAttemptTime {
 		return dropped
 	}
-	ctx, cancel := context.WithCancel(ctx)
+	attemptCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	began := time.Now()
-	watch := x.watchFirstByte(cancel, c)
-	a, err := x.r.d.Upstreams.Send(ctx, x.a.Request, Sending{
+	w := x.watchFirstByte(cancel, c)
+	w.start()
+	a, err := x.r.d.Upstreams.Send(attemptCtx, x.a.Request, Sending{
 		Upstream: c.ID, Address: c.Address, Account: x.a.Account.Name, Left: left, Resume: x.lastEvent})
-	silent := !watch()
+	silent := w.stop()
+	if err == nil && silent { // the header arrived while the attempt was cancelled
+		x.r.d.Pool.Responded(time.Now(), c.ID)
+		_ = a.Body.Close()
+		err = attemptCtx.Err()
+	}
 	if err != nil {
 		return x.noResponse(ctx, c, err, silent, time.Since(began))
 	}
@@ -211,35 +217,29 @@
 	x.mayHaveRun = append(x.mayHaveRun, id)
 }
 
-// watchFirstByte cancels an attempt whose response header does not arrive within the first-byte timeout, provided that
-// another upstream may repeat it and the retry budget allows that. The function it returns stops the timer and reports false
-// if it had expired.
+// watchFirstByte returns a watchdog that cancels an attempt whose response header does not arrive within the first-byte timeout,
+// provided that another upstream may repeat it and the retry budget allows that.
 //
 // An attempt at an upstream whose slots are all taken is not cancelled, since a late first byte is expected there.
-func (x *exchange) watchFirstByte(cancel context.CancelFunc, c dispatch.Choice) func() bool {
+func (x *exchange) watchFirstByte(cancel context.CancelFunc, c dispatch.Choice) *watchdog {
 	if !x.repeatable() || len(x.mayHaveRun)+1 >= max(1, x.a.Route.Attempts) || c.Load > c.Slots {
-		return func() bool { return true }
+		return &watchdog{}
 	}
 	d, ok := x.r.d.RetryPolicy.FirstByteTimeout(x.a.Service, x.a.Route.Objective-time.Since(x.a.Arrived))
 	if !ok {
 		d = lateFirstByteTimeout
 	}
-	t := time.AfterFunc(d, func() {
-		if x.r.d.RetryPolicy.TakeRetry() {
-			cancel()
-		}
-	})
-	return t.Stop
+	return &watchdog{limit: d, expire: x.r.d.RetryPolicy.TakeRetry, cancel: cancel}
 }
 
-// noResponse returns the verdict on an attempt that ended with an error before the response header; silent is set when
-// the first-byte timer had expired.
+// noResponse returns the verdict on an attempt that ended with an error before the response header; silent is set when it was
+// cancelled after the first-byte timeout.
 func (x *exchange) noResponse(ctx context.Context, c dispatch.Choice, err error, silent bool, took time.Duration) verdict {
 	var n httpconn.NotSent
 	x.reason = err.Error()
 	x.r.d.Log.Info("attempt failed", "request", x.a.ID, "upstream", c.ID, "load", c.Load, "took", took, "silent", silent, "error", err)
 	if errors.As(err, &n) {
-		if ctx.Err() != nil && !silent {
+		if ctx.Err() != nil {
 			return dropped
 		}
 		x.r.d.Pool.RecordUnreachable(time.Now(), c.ID)
@@ -247,7 +247,7 @@
 		return notRun
 	}
 	x.addMayHaveRun(c.ID)
-	if ctx.Err() != nil && !silent {
+	if ctx.Err() != nil {
 		return dropped
 	}
 	x.exclude = append(x.exclude, c.ID)
--- a/internal/transport/relay/relay_test.go
+++ b/internal/transport/relay/relay_test.go
@@ -31,6 +31,7 @@
 	body   string
 	end    error // error after the body; io.EOF where it is nil
 	stall  bool  // after the text the body blocks until the request is cancelled
+	late   bool  // the header arrives just when the request is cancelled
 	notRun bool
 	other  bool
 	plain  bool // without the upstream's signature
@@ -48,7 +49,9 @@
 	select {
 	case <-time.After(r.wait):
 	case <-ctx.Done():
-		return nil, ctx.Err()
+		if !r.late {
+			return nil, ctx.Err()
+		}
 	}
 	if r.err != nil {
 		return nil, r.err
@@ -282,6 +285,30 @@
 	}
 }
 
+// TestHeaderAtTheFirstByteTimeoutDoesNotAbortTheResponse guards against responses that were cut off, or not repeated, because the
+// header arrived at the moment at which the first-byte timeout cancelled the attempt.
+func TestHeaderAtTheFirstByteTimeoutDoesNotAbortTheResponse(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		kind plan.Kind
+		late string // body of the attempt that is cancelled
+		rest string
+	}{
+		{"stream before its first event", plan.Stream, "", events(1, 3)},
+		{"stream with an event", plan.Stream, events(1, 1), events(1, 3)},
+		{"response of a safe route", plan.Safe, "", "ok"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			u := &upstreams{reactions: []reaction{{wait: time.Hour, late: true, body: c.late, stall: true}, {body: c.rest}}}
+			got := serve(t, newPlan(c.kind, 2, true), u, nil)
+			require.Nil(t, got.failure)
+			require.False(t, got.aborted)
+			require.Equal(t, c.rest, got.body.String())
+			require.Len(t, u.sent, 2)
+		})
+	}
+}
+
 // TestSlowCallerIsNoGapOfTheUpstream guards against a panic, which ends the VM, when a caller reads more slowly than the gap
 // timeout: the time in which a write blocks counted as a gap, and one stream could have several.
 func TestSlowCallerIsNoGapOfTheUpstream(t *testing.T) {
