--- a/internal/transport/relay/relay_test.go
+++ b/internal/transport/relay/relay_test.go
@@ -31,6 +31,7 @@
 	body   string
 	end    error // error after the body; io.EOF where it is nil
 	stall  bool  // after the text the body blocks until the request is cancelled
+	late   bool  // the header arrives just when the request is cancelled
 	notRun bool
 	other  bool
 	plain  bool // without the upstream's signature
@@ -54,7 +55,9 @@
 	select {
 	case <-time.After(r.wait):
 	case <-ctx.Done():
-		return nil, ctx.Err()
+		if !r.late {
+			return nil, ctx.Err()
+		}
 	}
 	if r.err != nil {
 		return nil, r.err
@@ -124,10 +127,11 @@
 	failure *result.Failure
 	aborted bool
 	took    time.Duration
+	slow    time.Duration // how long each Write blocks
 }
 
 func (c *caller) Begin(status int, h http.Header, _ int64) { c.status, c.header = status, h }
-func (c *caller) Write(b []byte) (int, error)              { return c.body.Write(b) }
+func (c *caller) Write(b []byte) (int, error)              { time.Sleep(c.slow); return c.body.Write(b) }
 func (c *caller) Flush() error                             { return nil }
 func (c *caller) Refuse(f *result.Failure)                 { c.failure = f }
 func (c *caller) Abort()                                   { c.aborted = true }
@@ -159,6 +163,12 @@
 // serve sends one request through a relay with three upstreams; change may modify the request before.
 func serve(t *testing.T, p *plan.Plan, u *upstreams, change func(q *relay.Request)) *caller {
 	c := &caller{}
+	serveTo(t, c, p, u, change)
+	return c
+}
+
+// serveTo is serve for a caller.
+func serveTo(t *testing.T, c *caller, p *plan.Plan, u *upstreams, change func(q *relay.Request)) {
 	synctest.Test(t, func(*testing.T) {
 		pool := dispatch.New(dispatch.Deps{Zone: "a", Connected: func(string) bool { return false }, OnPreemption: func(dispatch.Choice) {}})
 		var l []roster.Upstream
@@ -178,7 +188,6 @@
 		c.took = time.Since(began)
 		require.Empty(t, pool.InFlight(), "every slot is released")
 	})
-	return c
 }
 
 func events(from, to int) string {
@@ -329,6 +338,30 @@
 	}
 }
 
+// TestHeaderAtTheFirstByteTimeoutDoesNotAbortTheResponse guards against responses that were cut off, or not repeated, because the
+// header arrived at the moment at which the first-byte timeout cancelled the attempt.
+func TestHeaderAtTheFirstByteTimeoutDoesNotAbortTheResponse(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		kind plan.Kind
+		late string // body of the attempt that is cancelled
+		rest string
+	}{
+		{"stream before its first event", plan.Stream, "", events(1, 3)},
+		{"stream with an event", plan.Stream, events(1, 1), events(1, 3)},
+		{"response of a safe route", plan.Safe, "", "ok"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			u := &upstreams{reactions: []reaction{{wait: time.Hour, late: true, body: c.late, stall: true}, {body: c.rest}}}
+			got := serve(t, newPlan(c.kind, 2, true), u, nil)
+			require.Nil(t, got.failure)
+			require.False(t, got.aborted)
+			require.Equal(t, c.rest, got.body.String())
+			require.Len(t, u.sent, 2)
+		})
+	}
+}
+
 // TestLongEventIsRelayed sends an event that comes in many reads.
 func TestLongEventIsRelayed(t *testing.T) {
 	text := "id: 1\ndata: " + strings.Repeat("x", 200<<10) + "\n\n"
@@ -392,6 +425,17 @@
 	return g.upstreams.Send(ctx, q, s)
 }
 
+// TestSlowCallerIsNoGapOfTheUpstream guards against a panic, which ends the VM, when a caller reads more slowly than the gap
+// timeout: the time in which a write blocks counted as a gap, and one stream could have several.
+func TestSlowCallerIsNoGapOfTheUpstream(t *testing.T) {
+	c := &caller{slow: 400 * time.Millisecond}
+	u := &upstreams{reactions: []reaction{{body: events(1, 4000)}}}
+	serveTo(t, c, newPlan(plan.Stream, 2, true), u, nil)
+	require.False(t, c.aborted)
+	require.Equal(t, events(1, 4000), c.body.String())
+	require.Len(t, u.sent, 1)
+}
+
 func TestResumedStreamKeepsTheFirstHeader(t *testing.T) {
 	u := &upstreams{reactions: []reaction{{body: events(1, 2), stall: true}, {body: events(3, 5)}}}
 	got := serve(t, newPlan(plan.Stream, 2, true), u, nil)
