replica, node: Replace a dead voter before it is removed

What callers would see: after a loss of power in which two VMs lose their disks, the group never has a leader again, so nothing accepted can be read.

Cause: a dead voter was removed first and a learner promoted after, so the group had four voters for a moment, and three if another voter was dead too. A voter counts as dead after 1.5 s without a response, so it may only be stopped or cut off and still have its disk. If then two of the four lose their disks, two are left, which is no majority and can't remove the others. With three voters an entry is accepted with two copies, and both may be lost.

Change: the learner is promoted first, so the group has six voters for a moment and still a majority without any two disks. Then the dead voter is removed. A dead voter is removed only if Growth.MinVoters remain, which the control group now sets to 2 * losses + 1 like the batch group. A step may need the new voter's response, which it has just given.

Evidence: TestTwoDisksAreLostWhileADeadVoterIsReplaced failed before in all six cases of step 1 ("no leader" for 100 s of virtual time) and passes in all twelve now. TestLostVMsAreReplacedInTurn and the other tests of growth pass as they did.

Ruled out: both changes at once (two voters differ, which needs joint consensus). Still open: with the dead voter's disk gone for good, the new voter and another one losing their disks within that moment leave no majority; these are three disks.

--- a/internal/command/node/control.go
+++ b/internal/command/node/control.go
@@ -55,7 +55,7 @@
 		VM:             n.link.Self(),
 		InitialMembers: initialMembers,
 		Contacts:       n.member.controls,
-		Growth:         &replica.Growth{MaxVoters: n.voters(), DeadAfter: deadAfter, Leaving: func() []string { return nil }, MinVoters: 1},
+		Growth:         &replica.Growth{MaxVoters: n.voters(), DeadAfter: deadAfter, Leaving: func() []string { return nil }, MinVoters: n.minRemaining()},
 		Folder:         n.Disk,
 		Machines:       map[uint32]replica.Machine{group.Control: c.machine},
 		Send:           sender{n.link},
--- a/internal/coordination/replica/formation.go
+++ b/internal/coordination/replica/formation.go
@@ -171,7 +171,10 @@
 
 // promote starts the next change that is needed before a learner that has caught up can vote, and reports whether there
 // was one. With Deps.Growth the number of voters is kept odd: a learner is promoted alone if the number is even or a
-// voter is leaving, otherwise only if a second learner can follow.
+// voter is dead or leaving, otherwise only if a second learner can follow.
+//
+// A dead voter is replaced before it is removed, because it may still have its disk: with one voter less, the group
+// could lose its majority for good when others lose theirs.
 func (r *Replica) promote(now time.Time, m *groupReplica, l consensus.Member) bool {
 	f := m.core.Configuration()
 	for _, v := range f.Voters {
@@ -189,13 +192,13 @@
 		r.changeMembership(now, m, f.Without(l.ID), "leaving learner removed")
 		return true
 	}
-	if v, ok := r.deadVoter(now, m); ok && m.core.Reachable(now, f.Without(v.ID)) {
-		r.changeMembership(now, m, f.Without(v.ID), "dead voter removed")
-		return true
+	_, dead := r.deadVoter(now, m)
+	if dead && len(f.Voters) > g.MaxVoters {
+		return false
 	}
 	leaves := func(v consensus.Member) bool { return slices.Contains(g.Leaving(), v.VM) }
 	pair := len(f.Voters)+2 <= g.MaxVoters && r.countCaughtUp(now, m) >= 2
-	if len(f.Voters)%2 == 0 || pair || slices.ContainsFunc(f.Voters, leaves) {
+	if len(f.Voters)%2 == 0 || pair || dead || slices.ContainsFunc(f.Voters, leaves) {
 		r.changeMembership(now, m, f.WithVoter(l), "learner promoted")
 		return true
 	}
@@ -243,9 +246,9 @@
 	return consensus.Member{}, false
 }
 
-// removeDead removes a dead learner, or a dead voter if the number of voters is even and greater than 2, and reports
-// whether it did. An even number of voters tolerates no more failures than one voter less. If the number is odd, promote
-// removes a dead voter when a learner can replace it.
+// removeDead removes a dead learner, or a dead voter if the number of voters is even and at least Growth.MinVoters
+// remain, and reports whether it did. An even number of voters tolerates no more failures than one voter less. If the
+// number is odd, promote first adds a voter that replaces a dead one.
 func (r *Replica) removeDead(now time.Time, m *groupReplica) bool {
 	f := m.core.Configuration()
 	for _, l := range f.Learners {
@@ -255,7 +258,7 @@
 		}
 	}
 	v, ok := r.deadVoter(now, m)
-	if !ok || len(f.Voters)%2 != 0 || len(f.Voters) <= 2 || !m.core.Reachable(now, f.Without(v.ID)) {
+	if !ok || len(f.Voters)%2 != 0 || len(f.Voters) <= max(2, r.d.Growth.MinVoters) || !m.core.Reachable(now, f.Without(v.ID)) {
 		return false
 	}
 	r.changeMembership(now, m, f.Without(v.ID), "dead voter removed")
--- a/internal/coordination/replica/growth_test.go
+++ b/internal/coordination/replica/growth_test.go
@@ -162,3 +162,55 @@
 		})
 	}
 }
+
+// TestTwoDisksAreLostWhileADeadVoterIsReplaced ends all VMs right after a step of the replacement, and wipes two of the
+// voters. The dead voter comes back with its disk, so no more disks are lost than five voters tolerate.
+func TestTwoDisksAreLostWhileADeadVoterIsReplaced(t *testing.T) {
+	for _, step := range []int{1, 2} {
+		for pair := range 6 {
+			t.Run(fmt.Sprint("step ", step, ", pair ", pair), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					c := newGrowing(t, 5, noneLeaving)
+					defer c.close()
+					c.add("vm-new")
+					c.propose(1, "first")
+					time.Sleep(catchUp)
+					before := c.voters(1)
+					dead := c.nodes[before[0]]
+					if dead == c.leader(1) {
+						dead = c.nodes[before[1]]
+					}
+					dead.kill()
+					c.propose(1, "second")
+					for range step {
+						now := c.voters(1)
+						for range 20_000 {
+							if !slices.Equal(c.voters(1), now) {
+								break
+							}
+							time.Sleep(200 * time.Microsecond)
+						}
+					}
+					time.Sleep(5 * time.Millisecond) // the change is committed
+					c.propose(1, "third")
+					left := slices.DeleteFunc(before, func(v string) bool { return v == dead.vm })
+					i, j := pair/3, pair%3+1
+					if i >= j {
+						j = 3
+					}
+					for _, n := range c.nodes {
+						n.kill()
+					}
+					c.nodes[left[i]].disk.Wipe()
+					c.nodes[left[j]].disk.Wipe()
+					for _, n := range c.nodes {
+						n.start()
+					}
+					l := c.leader(1)
+					require.NoError(t, l.replica.Barrier(t.Context(), 1))
+					require.Subset(t, l.machines[1].list(), []string{"first", "second", "third"})
+				})
+			})
+		}
+	}
+}
--- a/internal/coordination/replica/replica.go
+++ b/internal/coordination/replica/replica.go
@@ -57,10 +57,10 @@
 
 // Growth configures how the members of the groups change without an operator.
 type Growth struct {
-	MaxVoters int             // target number of voters, odd; exceeded only while leaving voters are replaced
+	MaxVoters int             // target number of voters, odd; exceeded only while dead or leaving voters are replaced
 	DeadAfter time.Duration   // a voter that is unresponsive for this long may be replaced
 	Leaving   func() []string // VMs whose members are to be removed from the groups
-	MinVoters int             // voters that must remain; a leaving VM stays a member until they do
+	MinVoters int             // voters that must remain; a dead or leaving voter stays until they do
 }
 
 // DefaultLimits returns the Limits that apply if Deps.Limits is zero.
