ledger: Bound the decompressed size of a chunk

What callers would see: VMs that end for lack of memory, one after the other, when they read a job with a chunk whose few kilobytes expand to gigabytes: deflate expands up to 1,032 times, and a message may hold 8 MB.

Change: a chunk decompresses to at most its Raw and Cuts, or 2 MB if that is more; beyond that reading it fails.

Evidence: TestChunkThatExpandsTooFarIsRefused (64 MB of zeros in less than 1 MB) failed before ("An error is expected but got nil") and passes now; TestLargestChunkIsRead passes before and after.

--- a/internal/state/ledger/chunk.go
+++ b/internal/state/ledger/chunk.go
@@ -11,6 +11,10 @@
 // ChunkSize is the uncompressed size in bytes at which a sender ends a chunk.
 const ChunkSize = 256 << 10
 
+// minTextLimit is how many bytes the Data of any chunk may decompress to; with more than its Raw and Cuts a larger one is not
+// read.
+const minTextLimit = 2 << 20
+
 // Chunk is a run of complete lines of a file, compressed. The Machine sets First and Start when it stores the chunk.
 type Chunk struct {
 	First int   // number of its first line in the file, from 0
@@ -44,12 +48,25 @@
 	return b.Bytes(), nil
 }
 
+// size returns the bytes that Data should hold when it is decompressed.
+func (c Chunk) size() int {
+	n := c.Raw
+	for _, x := range c.Cuts {
+		n += x.Length
+	}
+	return n
+}
+
 // Text returns the uncompressed lines of the chunk, without its Cuts.
 func (c Chunk) Text() ([]byte, error) {
-	t, err := io.ReadAll(flate.NewReader(bytes.NewReader(c.Data)))
+	limit := max(c.size(), minTextLimit)
+	t, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(c.Data)), int64(limit)+1))
 	if err != nil {
 		return nil, errors.Wrap(err, "decompressing a chunk")
 	}
+	if len(t) > limit {
+		return nil, errors.Errorf("the text of a chunk is larger than %d bytes", limit)
+	}
 	if len(c.Cuts) == 0 {
 		return t, nil
 	}
