node: Report no VM as retired while it may be a member

What callers would see: LOST. An operator is told that a batch VM has left, takes it away, and another one loses its disk: jobs can't be read any more.

Cause: Retired looked for the VM's address in the directory and took a VM that the directory lacks for one that has left. The directory is empty after a loss of all VMs, and drops a VM after 20 s without a report.

Change: a VM has left once each member of the batch group is in the directory under another name.

Evidence: TestVMThatIsStillAMemberHasNotLeft failed before ("[]" should have 3 items, but has 0) and passes now. Ruled out for now: committing the address with the order, which changes the stored form; a dead member without a successor keeps the answer at running.

--- a/internal/command/node/control.go
+++ b/internal/command/node/control.go
@@ -380,8 +380,9 @@
 	if m.batchLeader == "" || len(m.batchMembers) == 0 || time.Since(since) < retireSettle {
 		return false, nil
 	}
-	for _, v := range m.vms {
-		if v.Name == vm && slices.Contains(m.batchMembers, v.Address) {
+	for _, a := range m.batchMembers {
+		i := slices.IndexFunc(m.vms, func(v roster.VM) bool { return v.Address == a })
+		if i < 0 || m.vms[i].Name == vm { // a member that the directory lacks may be this VM
 			return false, nil
 		}
 	}
