operator: Bound the responses that operators' tools read

What operators would see: a tool that fills the memory of their machine, as a VM, or whatever listens at the address, sends a response without end for the 15 s that a request may last.

Change: a response has at most 64 MB, that of a backup 4 GB; a longer one is an error and is not requested again.

--- a/internal/transport/operator/backup.go
+++ b/internal/transport/operator/backup.go
@@ -28,6 +28,6 @@
 
 // Backup downloads the state of all groups, in the format that a data folder is restored from.
 func (c *Client) Backup(ctx context.Context) ([]byte, error) {
-	b, _, err := c.call(ctx, http.MethodGet, "/operator/v1/backup", nil)
+	b, _, err := c.call(ctx, http.MethodGet, "/operator/v1/backup", nil, maxBackup)
 	return b, err
 }
--- a/internal/transport/operator/client.go
+++ b/internal/transport/operator/client.go
@@ -22,6 +22,12 @@
 	requestTimeout = 15 * time.Second
 )
 
+// Limits of responses, in bytes.
+const (
+	maxResponse = 64 << 20
+	maxBackup   = 4 << 30
+)
+
 // Client sends requests to the operators' interface of one VM.
 type Client struct {
 	address string
@@ -71,7 +77,7 @@
 
 // Get decodes the JSON response of a path into to, which is a pointer.
 func (c *Client) Get(ctx context.Context, path string, to any) error {
-	b, _, err := c.call(ctx, http.MethodGet, path, nil)
+	b, _, err := c.call(ctx, http.MethodGet, path, nil, maxResponse)
 	if err != nil {
 		return err
 	}
@@ -80,7 +86,7 @@
 
 // Post sends a request without a body and decodes the JSON response into to, which is a pointer.
 func (c *Client) Post(ctx context.Context, path string, to any) error {
-	b, _, err := c.call(ctx, http.MethodPost, path, nil)
+	b, _, err := c.call(ctx, http.MethodPost, path, nil, maxResponse)
 	if err != nil {
 		return err
 	}
@@ -89,7 +95,7 @@
 
 // send makes one attempt to commit a change and reports whether a retry may succeed.
 func (c *Client) send(ctx context.Context, body []byte) (catalog.Outcome, bool, error) {
-	b, retryable, err := c.call(ctx, http.MethodPost, "/operator/v1/changes", body)
+	b, retryable, err := c.call(ctx, http.MethodPost, "/operator/v1/changes", body, maxResponse)
 	if err != nil {
 		return catalog.Outcome{}, retryable && ctx.Err() == nil, err
 	}
@@ -98,9 +104,9 @@
 	return f.outcome(), false, errors.Wrapf(err, "reading the response of %s", c.address)
 }
 
-// call sends a request and returns the body of the response. A failure that the VM reports is the error, a
-// *result.Failure; retryable is set when no complete response arrived or the failure has a 5xx status.
-func (c *Client) call(ctx context.Context, method, path string, body []byte) (response []byte, retryable bool, err error) {
+// call sends a request and returns the body of the response, which has at most limit bytes. A failure that the VM reports is
+// the error, a *result.Failure; retryable is set when no complete response arrived or the failure has a 5xx status.
+func (c *Client) call(ctx context.Context, method, path string, body []byte, limit int64) (response []byte, retryable bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
 	q, err := http.NewRequestWithContext(ctx, method, "http://"+c.address+path, bytes.NewReader(body))
@@ -113,10 +119,13 @@
 		return nil, true, errors.Wrapf(err, "asking %s", c.address)
 	}
 	defer r.Body.Close()
-	b, err := io.ReadAll(r.Body)
+	b, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
 	if err != nil {
 		return nil, true, errors.Wrapf(err, "reading the response of %s", c.address)
 	}
+	if int64(len(b)) > limit {
+		return nil, false, errors.Errorf("the response of %s is longer than %d bytes", c.address, limit)
+	}
 	var f failureForm
 	if json.Unmarshal(b, &f) == nil && f.Error.ResultCode != 0 {
 		n := result.New(result.Code(f.Error.ResultCode), "%s", f.Error.Message).WithRan(result.Ran(f.Error.Ran))
