replica, node: Keep a retired VM out of the batch group

What callers would see: a VM that was reported as retired counts as a voter again, and its removal is one loss more than the fleet expects.

Cause: after a restart the batch leader adjusted the group before it knew who leaves: any bulletin, also one of a control VM without state, replaced the list of leaving VMs, and names were mapped to addresses by a directory that did not have the VM yet.

Change: a VM may join the batch group only if the leader's directory has it, which comes in the same bulletins as the list; a shorter list does not replace a longer one.

--- a/internal/command/node/member.go
+++ b/internal/command/node/member.go
@@ -388,7 +388,12 @@
 		m.leader = b.Leader
 		m.named = b.Controls
 	}
-	m.initialMembers, m.leaving = b.InitialMembers, b.Leaving
+	if len(b.InitialMembers) > 0 {
+		m.initialMembers = b.InitialMembers
+	}
+	if len(b.Leaving) > len(m.leaving) { // names are only added; a control VM outside the group has none
+		m.leaving = b.Leaving
+	}
 	if b.BatchLeader != "" || b.Leads {
 		m.batchLeader, m.batchMembers = b.BatchLeader, b.BatchMembers
 	}
--- a/internal/coordination/replica/formation.go
+++ b/internal/coordination/replica/formation.go
@@ -216,13 +216,16 @@
 	return n
 }
 
-// mayJoin reports whether a VM that is not in the group may become a learner: there are fewer members than
-// Growth.MaxVoters, not counting voters that are leaving and one dead voter.
+// mayJoin reports whether a VM that is not in the group may become a learner: it is a candidate, and there are fewer members
+// than Growth.MaxVoters, not counting voters that are leaving and one dead voter.
 func (r *Replica) mayJoin(now time.Time, m *groupReplica, vm string) bool {
 	g := r.d.Growth
 	if g == nil || slices.Contains(g.Leaving(), vm) {
 		return false
 	}
+	if g.Candidates != nil && !slices.Contains(g.Candidates(), vm) {
+		return false
+	}
 	f := m.core.Configuration()
 	spare := 0
 	for _, v := range f.Voters {
--- a/internal/coordination/replica/replica.go
+++ b/internal/coordination/replica/replica.go
@@ -57,10 +57,11 @@
 
 // Growth configures how the members of the groups change without an operator.
 type Growth struct {
-	MaxVoters int             // target number of voters, odd; exceeded only while dead or leaving voters are replaced
-	DeadAfter time.Duration   // a voter that is unresponsive for this long may be replaced
-	Leaving   func() []string // VMs whose members are to be removed from the groups
-	MinVoters int             // voters that must remain; a dead or leaving voter stays until they do
+	Candidates func() []string // VMs that may join; nil for all
+	MaxVoters  int             // target number of voters, odd; exceeded only while dead or leaving voters are replaced
+	DeadAfter  time.Duration   // a voter that is unresponsive for this long may be replaced
+	Leaving    func() []string // VMs whose members are to be removed from the groups
+	MinVoters  int             // voters that must remain; a dead or leaving voter stays until they do
 }
 
 // DefaultLimits returns the Limits that apply if Deps.Limits is zero.
