node: Read the seeds again while they know no leader

What callers would see: an entry VM that restarted with a seed which responds but knows nothing (its disk is lost, it is cut off) stays without a configuration, although the settings file meanwhile names good seeds.

Cause: the file was read again only when every control VM failed to respond.

Change: it is read again every 2 s while none leads.

--- a/internal/command/node/control.go
+++ b/internal/command/node/control.go
@@ -64,7 +64,7 @@
 		Log:            n.Log,
 	})
 	c.replica = r
-	n.member.known = c.groupMembers
+	n.member.groupMembers = c.groupMembers
 	n.link.Receive(link.Consensus, func(from string, b []byte) { r.Receive(from, b) })
 	n.link.Handle(link.Propose, func(ctx context.Context, _ string, b []byte) ([]byte, error) {
 		return r.ProposeHere(ctx, group.Control, b)
--- a/internal/command/node/member.go
+++ b/internal/command/node/member.go
@@ -24,7 +24,7 @@
 	syncPerVM       = 4 * time.Millisecond   // for each VM of a large fleet; the leader gets at most 250 reports a second
 	syncTimeout     = 350 * time.Millisecond
 	syncRetry       = 40 * time.Millisecond // after a failed report, plus a random time up to as much
-	reloadInterval  = 2 * time.Second       // between reads of the settings file while no control VM responds
+	reloadInterval  = 2 * time.Second       // between reads of the settings file while no leading control VM responds
 	leaderAvoidTime = time.Second           // the leader is not called for this time after a failed call
 	shareInterval   = time.Second           // between requests for shares, for use while the owner of the limits is unresponsive
 	maxControls     = 64                    // addresses
@@ -43,7 +43,7 @@
 	buckets          *share.Buckets          // nil except on entry VMs
 	report           func(*roster.Report)    // adds what the VM's class reports; may be nil
 	onList           func([]roster.Upstream) // called with each new list of upstreams; may be nil
-	known            func() []string         // addresses of control VMs that this VM knows by other means; may be nil
+	groupMembers     func() []string         // addresses of the control group's members; nil except on control VMs
 	sharesReportedAt time.Time               // used by the reporting goroutine only, without mu
 
 	mu             sync.RWMutex
@@ -59,8 +59,9 @@
 	batchLeader    string
 	batchMembers   []string
 	seeds          []string             // link addresses of control VMs
-	named          []string             // link addresses of control VMs that one which does not lead has named
+	namedControls  []string             // link addresses of control VMs that one which does not lead has named
 	leader         string               // link address; "" when none is known
+	confirmed      string               // link address of the control VM that responded last as leader; "" when it was lost
 	failedAt       map[string]time.Time // last failed call, by link address
 }
 
@@ -154,21 +155,21 @@
 	return m.leader
 }
 
-// controls returns the addresses of the known control VMs, at most maxControls, and the seeds.
+// controls returns the addresses of the known control VMs: those of the directory, of the group and the seeds first, then those
+// that others have named, up to maxControls.
 func (m *member) controls() []string {
 	l := m.addresses(roster.Control)
-	if m.known != nil {
-		l = append(l, m.known()...)
+	if m.groupMembers != nil {
+		l = append(l, m.groupMembers()...)
 	}
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	l = append(l, m.named...)
+	l = append(l, m.seeds...)
 	slices.Sort(l)
 	l = slices.Compact(l)
-	l = l[:min(len(l), maxControls)]
-	for _, s := range m.seeds {
-		if !slices.Contains(l, s) {
-			l = append(l, s)
+	for _, c := range m.namedControls {
+		if len(l) < maxControls && !slices.Contains(l, c) {
+			l = append(l, c)
 		}
 	}
 	return l
@@ -188,10 +189,9 @@
 }
 
 // run reports to the leading control VM until ctx ends. While none is known it tries the control VMs in turn, from a random
-// one on. When all have failed it reads the settings file again, which may name other seeds.
+// one on. While none is found it reads the settings file again, which may name other seeds.
 func (m *member) run(ctx context.Context) error {
 	at := rand.IntN(1 << 10)
-	failed := 0
 	reloaded := time.Now()
 	ledAt := time.Now()
 	reported := ledAt
@@ -200,19 +200,17 @@
 			reported = time.Now()
 			m.reportNoLeader(time.Since(ledAt))
 		}
+		if time.Since(ledAt) > reloadInterval && time.Since(reloaded) > reloadInterval {
+			reloaded = time.Now()
+			m.reload()
+		}
 		target, b, err := m.sync(ctx, at)
 		if err != nil {
-			failed++
 			at++
 			m.recordFailure(target, err)
-			if failed > len(m.controls()) && time.Since(reloaded) > reloadInterval {
-				reloaded = time.Now()
-				m.reload()
-			}
 			pause.For(ctx, syncRetry+rand.N(syncRetry))
 			continue
 		}
-		failed = 0
 		m.adopt(target, b)
 		if b.Leads {
 			ledAt = time.Now()
@@ -275,7 +273,7 @@
 	defer m.mu.Unlock()
 	if m.leader == vm && vm != "" {
 		m.n.Log.Warn("control VM lost", "peer", vm, "error", err)
-		m.leader = ""
+		m.leader, m.confirmed = "", ""
 	}
 	m.failedAt[vm] = time.Now()
 }
@@ -379,14 +377,15 @@
 	}
 	m.mu.Lock()
 	if b.Leads {
-		if m.leader != from {
+		if m.confirmed != from {
+			m.confirmed = from
 			m.n.Log.Info("control VM leads", "peer", from, "version", b.Version)
 		}
 		m.leader, m.confirmedAt = from, now
-		m.named = nil
+		m.namedControls = nil
 	} else {
 		m.leader = b.Leader
-		m.named = b.Controls
+		m.namedControls = b.Controls
 	}
 	if len(b.InitialMembers) > 0 {
 		m.initialMembers = b.InitialMembers
--- a/internal/coordination/replica/formation.go
+++ b/internal/coordination/replica/formation.go
@@ -49,7 +49,8 @@
 }
 
 // announce tells the contacts that have no responsive replica in the group that this replica leads. After a restart of all
-// VMs they may know no member, and only members know the others' addresses from their disks.
+// VMs they may know no member, and only members know the others' addresses from their disks. A contact that has lost its disk
+// is still in the configuration, under its lost replica's ID.
 func (r *Replica) announce(now time.Time, m *groupReplica) {
 	if r.d.Contacts == nil || now.Sub(m.announcedAt) < announceInterval {
 		return
@@ -68,7 +69,7 @@
 	}
 }
 
-// contacts returns the VMs that a replica without a leader sends hellos to.
+// contacts returns the VMs that may have a replica of the group or know one.
 func (r *Replica) contacts(m *groupReplica) []string {
 	if r.d.Contacts == nil {
 		return r.d.InitialMembers
