replica: End the lease of a leader whose VM was suspended

What callers would see: a read in an older state, for example that an accepted batch does not exist, and items that two leaders run, right after a leading VM was suspended for seconds.

Cause: a lease ends at a time of the steady clock, which Go's time comparisons use and which does not count the time while a VM is suspended. The others elect a leader meanwhile. On its return the former leader still holds its lease for up to ElectionMin and serves what waits in its sockets before it hears of the new term.

Change: each reading of the time also reads the time of day (time.Now holds both). The leader sends heartbeats at once and has a lease again when a quorum has confirmed a round sent after the return. A time of day that is set forward costs one such round.

Evidence: TestSuspendedLeaderHoldsNoLease failed before in both of its checks: the lease held ("Should be false"), and a barrier succeeded while the leader was cut off ("An error is expected but got nil"). No suspended process was run.

Ruled out: CLOCK_BOOTTIME for all times (a system call for each event, and not virtual in tests); stepping down (an election after each set clock).

--- a/internal/coordination/consensus/core.go
+++ b/internal/coordination/consensus/core.go
@@ -136,6 +136,7 @@
 	leaderSince      time.Time
 	transferTarget   uint64            // voter to which leadership is being transferred; 0 for none
 	transferDeadline time.Time         // when the leader steps down if the target has not taken over
+	leaseAfter       time.Time         // a lease begins only with a heartbeat round sent after this time
 	campaignNowSent  bool              // CampaignNow was sent, so the lease of this term is void
 	reads            []read            // pending
 	origin           time.Time         // zero point of clock
--- a/internal/coordination/consensus/leader.go
+++ b/internal/coordination/consensus/leader.go
@@ -98,10 +98,22 @@
 		return time.Time{}, false
 	}
 	base := c.quorumConfirmedAt(now)
+	if !base.After(c.leaseAfter) {
+		return time.Time{}, false
+	}
 	until = base.Add(t.ElectionMin - t.ElectionMin/time.Duration(t.DriftDenom))
 	return until, now.Before(until)
 }
 
+// VoidLease ends the lease, because time has passed that now does not count. A new one begins with the heartbeat round
+// that a leader sends now.
+func (c *Core) VoidLease(now time.Time) {
+	c.leaseAfter = c.origin.Add(time.Duration(c.clock(now)))
+	if c.role == Leader {
+		c.heartbeat(now)
+	}
+}
+
 // tickLeader steps down if no quorum has confirmed the leadership within ElectionMin or a transfer has not finished in
 // time; otherwise it sends a heartbeat when due.
 func (c *Core) tickLeader(now time.Time) {
--- a/internal/coordination/replica/cluster_test.go
+++ b/internal/coordination/replica/cluster_test.go
@@ -40,6 +40,7 @@
 	added          time.Duration // further delay of frames to VMs that were added
 
 	grow func(n *node) *replica.Growth // nil for no Growth
+	day  func(vm string) time.Time     // time of day; nil for the steady clock
 	tap  func(from, to string, frame []byte) (deliver bool)
 }
 
@@ -146,6 +147,9 @@
 		Limits:         n.c.limit,
 		Log:            slog.New(slog.DiscardHandler),
 	}
+	if n.c.day != nil {
+		d.TimeOfDay = func() time.Time { return n.c.day(n.vm) }
+	}
 	if n.c.grow != nil {
 		d.Growth = n.c.grow(n)
 		d.InitialMembers = n.c.known()[:n.c.initialMembers]
--- a/internal/coordination/replica/loop.go
+++ b/internal/coordination/replica/loop.go
@@ -21,27 +21,27 @@
 func (r *Replica) loop(ctx context.Context) error {
 	t := time.NewTicker(r.d.Timing.Heartbeat / 4)
 	defer t.Stop()
-	r.tick(time.Now())
-	r.flush(time.Now())
+	r.tick(r.now())
+	r.flush(r.now())
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-t.C:
-			r.tick(time.Now())
+			r.tick(r.now())
 		case v := <-r.inbox:
-			r.step(time.Now(), v)
+			r.step(r.now(), v)
 		case p := <-r.proposals:
 			r.propose(p)
 		case f := <-r.requests:
-			f(time.Now())
+			f(r.now())
 		case b := <-r.written:
-			r.onWritten(time.Now(), b)
+			r.onWritten(r.now(), b)
 		case a := <-r.applied:
 			r.onApplied(a)
 		}
 		r.drain()
-		r.flush(time.Now())
+		r.flush(r.now())
 	}
 }
 
@@ -50,11 +50,11 @@
 	for range maxDrainedEvents {
 		select {
 		case v := <-r.inbox:
-			r.step(time.Now(), v)
+			r.step(r.now(), v)
 		case p := <-r.proposals:
 			r.propose(p)
 		case f := <-r.requests:
-			f(time.Now())
+			f(r.now())
 		case a := <-r.applied:
 			r.onApplied(a)
 		default:
@@ -63,6 +63,19 @@
 	}
 }
 
+// now returns the present time. If the VM was suspended since the last call, no lease that began before holds any more,
+// although the steady clock has not counted that time.
+func (r *Replica) now() time.Time {
+	c := r.readClocks()
+	if c.suspendedSince(r.clocks) {
+		for _, n := range r.groupIDs {
+			r.groups[n].core.VoidLease(c.steady)
+		}
+	}
+	r.clocks = c
+	return c.steady
+}
+
 func (r *Replica) tick(now time.Time) {
 	for _, n := range r.groupIDs {
 		m := r.groups[n]
--- a/internal/coordination/replica/replica.go
+++ b/internal/coordination/replica/replica.go
@@ -43,6 +43,7 @@
 	Send           SendProvider
 	Forward        ForwardProvider
 	Timing         consensus.Timing // zero for consensus.DefaultTiming
+	TimeOfDay      func() time.Time // clock that goes on while the VM is suspended; nil for time.Now
 	Limits         Limits           // zero for DefaultLimits
 	Log            *slog.Logger
 }
@@ -88,6 +89,7 @@
 	rewriteDue    bool             // the next batch rewrites the journal
 	outbox        *outbox
 	helloSentAt   time.Time // when hellos were last sent
+	clocks        clocks    // at the last event of the loop
 	done          chan struct{}
 	syncs         atomic.Uint64
 }
--- a/internal/coordination/replica/replica_test.go
+++ b/internal/coordination/replica/replica_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -319,3 +320,32 @@
 		require.Error(t, barrier(), "applied: %v", follower.machines[0].list())
 	})
 }
+
+// TestSuspendedLeaderHoldsNoLease lets the time of day of a leader go on by seconds, as while its VM is suspended, and
+// cuts it off. Another replica may lead by then, so that it must neither hold a lease nor serve a barrier.
+func TestSuspendedLeaderHoldsNoLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var suspended sync.Map // duration by VM
+		c := newCluster(t, 1, 3, replica.DefaultLimits())
+		c.day = func(vm string) time.Time {
+			d, _ := suspended.LoadOrStore(vm, time.Duration(0))
+			return time.Now().Add(d.(time.Duration))
+		}
+		defer c.start().close()
+		c.propose(0, "first")
+		l := c.leader(0)
+		var cut atomic.Bool
+		c.mu.Lock()
+		c.tap = func(_, to string, _ []byte) bool { return !cut.Load() || to != l.vm }
+		c.mu.Unlock()
+		cut.Store(true)
+		suspended.Store(l.vm, 3*time.Second)
+		_, _, ok := l.replica.Lease(0)
+		require.False(t, ok)
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+		require.Error(t, l.replica.Barrier(ctx, 0))
+		cut.Store(false)
+		require.NoError(t, l.replica.Barrier(t.Context(), 0))
+	})
+}
--- a/internal/coordination/replica/status.go
+++ b/internal/coordination/replica/status.go
@@ -19,6 +19,8 @@
 	Applied       uint64    // index up to which entries are applied
 	Snapshot      uint64    // index of the newest snapshot; 0 for none
 	Configuration consensus.Configuration
+
+	clocks clocks // when the status was published
 }
 
 // Leader returns the VM of a group's leader and its term, the newest that this replica knows. A replica that has no leader
@@ -37,7 +39,8 @@
 // The lease starts when the heartbeats that a quorum has confirmed were sent.
 func (r *Replica) Lease(group uint32) (term uint64, until time.Time, ok bool) {
 	s := r.statusOf(group)
-	if !s.Leads || !time.Now().Before(s.Lease) {
+	c := r.readClocks()
+	if !s.Leads || !c.steady.Before(s.Lease) || c.suspendedSince(s.clocks) {
 		return 0, time.Time{}, false
 	}
 	return s.Term, s.Lease, true
@@ -89,6 +92,7 @@
 		Applied:       m.applied,
 		Snapshot:      c.Snapshot().Index,
 		Configuration: c.Configuration(),
+		clocks:        r.clocks,
 	}
 	if u, ok := c.Lease(now); ok {
 		s.Lease = u
