--- a/internal/coordination/replica/status.go
+++ b/internal/coordination/replica/status.go
@@ -20,6 +20,8 @@
 	Snapshot      uint64                  // index of the newest snapshot; 0 for none
 	Configuration consensus.Configuration // in force; a newer leader may still replace it
 	Committed     consensus.Configuration // the newest that is known to be committed
+
+	clocks clocks // when the status was published
 }
 
 // Leader returns the VM of a group's leader and its term, the newest that this replica knows. A replica that has no leader
@@ -38,7 +40,8 @@
 // The lease starts when the heartbeats that a quorum has confirmed were sent.
 func (r *Replica) Lease(group uint32) (term uint64, until time.Time, ok bool) {
 	s := r.statusOf(group)
-	if !s.Leads || !time.Now().Before(s.Lease) {
+	c := r.readClocks()
+	if !s.Leads || !c.steady.Before(s.Lease) || c.suspendedSince(s.clocks) {
 		return 0, time.Time{}, false
 	}
 	return s.Term, s.Lease, true
@@ -91,6 +94,7 @@
 		Snapshot:      c.Snapshot().Index,
 		Configuration: c.Configuration(),
 		Committed:     c.ConfigurationAt(c.Commit()),
+		clocks:        r.clocks,
 	}
 	if u, ok := c.Lease(now); ok {
 		s.Lease = u
