gateway: Cut off uploads that trickle

What callers would see: a caller that sends a byte every nine seconds held an upload of a file, with its goroutine and its open file in the ledger, for years: each byte moved the deadline and only the total of 1 GB was bounded.

Change: the gateway uses the bounds of package httpserver, which has the same limits and in addition an average of 4 KB/s after the first 10 s; its own copies of the body and the writer with deadlines go.

Evidence: TestUploadThatTricklesIsCutOff failed before ("the connection is still open", i/o timeout after 10 minutes) and passes now; TestHostileRequestsAreRefused, TestSlowCallerIsDisconnected, TestPlannedStopWaitsForALongStream and the batch tests of package vm pass.

Ruled out: a limit of the whole time, which a file of 1 GB over a slow link exceeds.

--- a/internal/transport/gateway/body.go
+++ b/internal/transport/gateway/body.go
@@ -15,7 +15,6 @@
 	MaxBody         = 32 << 20 // bytes of one online request
 	maxBodyMemory   = 96 << 20 // bytes of all online requests of a VM together
 	reservationStep = 1 << 20  // bytes reserved at a time for a body of unknown length
-	bodyReadTimeout = 10 * time.Second
 	bodyTimeout     = 2 * time.Minute
 	retryDelay      = time.Second // suggested to callers by Retry-After
 )
@@ -83,25 +82,3 @@
 		}
 	}
 }
-
-// deadlineBody fails when a caller sends nothing of its body for bodyReadTimeout. The deadline is set on the connection
-// from the start, so that it also applies while net/http discards what a handler left unread.
-type deadlineBody struct {
-	io.ReadCloser
-	c *http.ResponseController
-}
-
-func newDeadlineBody(r io.ReadCloser, c *http.ResponseController) *deadlineBody {
-	_ = c.SetReadDeadline(time.Now().Add(bodyReadTimeout))
-	return &deadlineBody{ReadCloser: r, c: c}
-}
-
-// Read reads the body; at its end it removes the read deadline from the connection.
-func (b *deadlineBody) Read(p []byte) (int, error) {
-	_ = b.c.SetReadDeadline(time.Now().Add(bodyReadTimeout))
-	n, err := b.ReadCloser.Read(p)
-	if errors.Is(err, io.EOF) {
-		_ = b.c.SetReadDeadline(time.Time{})
-	}
-	return n, err
-}
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -17,15 +17,12 @@
 	"snipetack/internal/protocol/reply"
 	"snipetack/internal/state/catalog"
 	"snipetack/internal/state/result"
+	"snipetack/internal/transport/httpserver"
 	"snipetack/internal/transport/upstream"
 )
 
-// Bounds of callers' connections.
-const (
-	MaxHeader     = 64 << 10 // bytes of all headers
-	headerTimeout = 10 * time.Second
-	idleTimeout   = 2 * time.Minute
-)
+// MaxHeader bounds all headers of a request, in bytes.
+const MaxHeader = httpserver.MaxHeader
 
 // CopyProvider yields the VM's copy of the configuration; see feed.Copy.
 type CopyProvider interface {
@@ -113,6 +110,7 @@
 
 // Handler returns the callers' HTTP interface.
 func (g *Gateway) Handler() http.Handler {
+	h := httpserver.Bound(g.mux)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		defer g.track(r)()
 		// A chunked request closes its connection: a proxy in front may have found another end of the body, and what is
@@ -120,24 +118,15 @@
 		if g.draining.Load() || len(r.TransferEncoding) > 0 {
 			w.Header().Set("Connection", "close")
 		}
-		c := http.NewResponseController(w)
-		if r.ContentLength != 0 {
-			r.Body = newDeadlineBody(r.Body, c)
-		}
-		g.mux.ServeHTTP(&deadlineWriter{ResponseWriter: w, c: c}, r)
+		h.ServeHTTP(w, r)
 	})
 }
 
-// Server returns an HTTP server with the gateway's bounds; its listener comes from Listener.
+// Server returns an HTTP server with the bounds of package httpserver; its listener comes from Listener.
 func (g *Gateway) Server() *http.Server {
-	return &http.Server{
-		Handler:           g.Handler(),
-		ReadHeaderTimeout: headerTimeout,
-		WriteTimeout:      callerTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    MaxHeader,
-		ErrorLog:          slog.NewLogLogger(g.d.Log.Handler(), slog.LevelDebug),
-	}
+	s := httpserver.New(nil, g.d.Log)
+	s.Handler = g.Handler()
+	return s
 }
 
 // Drain makes the VM unready, so that the platform's load balancer sends no new requests. Each connection that is still
--- a/internal/transport/httpserver/server.go
+++ b/internal/transport/httpserver/server.go
@@ -6,9 +6,11 @@
 	"time"
 )
 
+// MaxHeader bounds all headers of a request, in bytes.
+const MaxHeader = 64 << 10
+
 // Bounds of connections.
 const (
-	maxHeader     = 64 << 10 // bytes of all headers
 	headerTimeout = 10 * time.Second
 	idleTimeout   = 2 * time.Minute // longer than any configuration lets callers reuse a connection
 )
@@ -21,7 +23,7 @@
 		ReadHeaderTimeout: headerTimeout,
 		WriteTimeout:      writeTimeout,
 		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeader,
+		MaxHeaderBytes:    MaxHeader,
 		ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelDebug),
 	}
 }
