vm: Bound the requests of operators' clients in time

What operators would see: a VM that keeps a connection, and a goroutine, for each client of the operators' port that sends a part of a body and then nothing; no token is needed, as net/http reads on after the refusal.

Change: the operators' server is made by package httpserver; it also gets its bounds of headers (64 KB), idle connections and slow readers.

--- a/internal/command/vm/hostile_test.go
+++ b/internal/command/vm/hostile_test.go
@@ -219,3 +219,22 @@
 		require.GreaterOrEqual(t, len(f.Engines[0].Arrivals()), 3, "the first run, the failed resume and the run from the start")
 	})
 }
+
+// TestOperatorWithAnEndlessBodyKeepsNoConnection guards against clients of the operators' port, which may be strangers, that
+// hold a connection forever with a body that never ends.
+func TestOperatorWithAnEndlessBodyKeepsNoConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := fleet.New(t, fleet.Shape{Seed: 1, Keepers: 1, Entries: 1, Engines: 1})
+		defer f.Close()
+		time.Sleep(time.Second) // until it listens
+		v, _ := f.Settings.VM("entry-1")
+		c, err := f.Net.Host(fleet.CallerIP).Dial(context.Background(), v.Operators)
+		require.NoError(t, err)
+		defer c.Close()
+		_, err = io.WriteString(c, "POST /operator/v1/changes HTTP/1.1\r\nHost: x\r\nContent-Length: 1000\r\n\r\n{")
+		require.NoError(t, err)
+		require.NoError(t, c.SetReadDeadline(time.Now().Add(3*time.Minute)))
+		_, err = io.Copy(io.Discard, c)
+		require.NoError(t, err, "the connection is still open")
+	})
+}
--- a/internal/command/vm/telemetry.go
+++ b/internal/command/vm/telemetry.go
@@ -2,14 +2,11 @@
 
 import (
 	"net/http"
-	"time"
 
+	"snipetack/internal/transport/httpserver"
 	"snipetack/internal/transport/telemetry"
 )
 
-// operatorHeaderTimeout bounds the time that an operator's client may take to send the request headers.
-const operatorHeaderTimeout = 10 * time.Second
-
 // servers returns the HTTP servers for callers and operators. Requests of callers are measured; the operators' server
 // also serves the metrics.
 func (v *VM) servers() (callers, operators *http.Server, err error) {
@@ -35,6 +32,5 @@
 	m := http.NewServeMux()
 	m.Handle("GET /metrics", t.Handler())
 	m.Handle("/", v.operator.Handler())
-	operators = &http.Server{Handler: m, ReadHeaderTimeout: operatorHeaderTimeout}
-	return callers, operators, nil
+	return callers, httpserver.New(m, v.d.Log), nil
 }
