cli: Bound the response to a change in bytes and time

What operators would see: the change command waits for good, or fills the memory of their machine, when the address accepts the request and sends nothing, or a response without end.

Change: the response has at most 1 MB and 30 s.

Evidence: TestEndlessResponseToAChangeIsNotRead failed before (256 MB were read without an error) and passes now. The time limit is not tested.

--- a/internal/command/cli/change.go
+++ b/internal/command/cli/change.go
@@ -2,14 +2,22 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"net/http"
 	"os"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/tailscale/hujson"
 )
 
+// Limits of the response to a change.
+const (
+	changeTimeout = 30 * time.Second
+	maxOutcome    = 1 << 20 // bytes
+)
+
 // operatorFlags are the operator address and token of the change command, which requires both as flags; all other commands
 // use fleetFlags, which may come from the environment.
 type operatorFlags struct {
@@ -46,7 +54,9 @@
 	if err != nil {
 		return nil, invalid{err}
 	}
-	q, err := http.NewRequestWithContext(e.ctx, method, "http://"+f.Operator+path, bytes.NewReader(body))
+	ctx, cancel := context.WithTimeout(e.ctx, changeTimeout)
+	defer cancel()
+	q, err := http.NewRequestWithContext(ctx, method, "http://"+f.Operator+path, bytes.NewReader(body))
 	if err != nil {
 		return nil, errors.Wrap(err, "creating the request")
 	}
@@ -56,10 +66,13 @@
 		return nil, errors.Wrapf(err, "sending the request to %s", f.Operator)
 	}
 	defer r.Body.Close()
-	b, err := io.ReadAll(r.Body)
+	b, err := io.ReadAll(io.LimitReader(r.Body, maxOutcome+1))
 	if err != nil {
 		return nil, errors.Wrapf(err, "reading the response of %s", f.Operator)
 	}
+	if len(b) > maxOutcome {
+		return nil, errors.Errorf("the response of %s is longer than %d bytes", f.Operator, maxOutcome)
+	}
 	if r.StatusCode >= http.StatusBadRequest {
 		return nil, errors.Errorf("%s responded with status %d: %s", f.Operator, r.StatusCode, b)
 	}
