httpserver, platform: Move the reading of bodies out of the adapter

The adapter decides nothing: the limit of all bodies, the refusal and its Retry-After now stand beside the other bounds of servers.

--- a/platform/body.go
+++ b/internal/transport/httpserver/bodies.go
@@ -1,4 +1,4 @@
-package platform
+package httpserver
 
 import (
 	"errors"
@@ -11,32 +11,29 @@
 	"snipetack/internal/state/result"
 )
 
-// Bounds of the bodies of requests.
+// Bounds that apply to all bodies.
 const (
-	bodyLimit      = 8 << 20  // bytes of one; a configuration may set a lower one
-	freeBody       = 64 << 10 // bytes of each that do not count against bodyMemory
-	bodyMemory     = 24 << 20 // bytes of all; a decoded job takes several times as many, and an entry VM has less than 200 MB
-	documentLimit  = 16 << 20 // bytes of a configuration
-	documentMemory = 48 << 20 // bytes of all configurations that operators are sending, like bodyMemory
-	bodyTimeout    = 2 * time.Minute
-	retryBody      = time.Second // Retry-After when bodyMemory is used up
+	FreeBody    = 64 << 10        // bytes of each that do not count against the limit of all
+	BodyTimeout = 2 * time.Minute // for a whole body
+	retryBody   = time.Second     // Retry-After when the limit of all is reached
 )
 
-// bodies reads the bodies of requests within a limit for each and one for all.
-type bodies struct {
+// Bodies reads the bodies of requests within a limit for each and one for all; it is safe for concurrent use.
+type Bodies struct {
 	limit  int // bytes
 	memory *semaphore.Weighted
 }
 
-func newBodies(limit, memory int) *bodies {
-	return &bodies{limit: limit, memory: semaphore.NewWeighted(int64(memory))}
+// NewBodies returns Bodies for bodies of at most limit bytes each, which hold at most memory bytes together beyond FreeBody each.
+func NewBodies(limit, memory int) *Bodies {
+	return &Bodies{limit: limit, memory: semaphore.NewWeighted(int64(memory))}
 }
 
-// read reads the body of a request; release must be called when it is no longer used. After a failure the connection is closed,
+// Read reads the body of a request; release must be called when it is no longer used. After a failure the connection is closed,
 // as the rest of the body is unread.
-func (b *bodies) read(w http.ResponseWriter, r *http.Request) (body []byte, release func(), f *result.Failure) {
+func (b *Bodies) Read(w http.ResponseWriter, r *http.Request) (body []byte, release func(), f *result.Failure) {
 	m := &reservation{memory: b.memory}
-	body, f = read(r, m, b.limit)
+	body, f = readBody(r, m, b.limit)
 	if f != nil {
 		m.release()
 		w.Header().Set("Connection", "close")
@@ -45,17 +42,17 @@
 	return body, m.release, nil
 }
 
-// read reads a body of at most so many bytes and extends the reservation as it grows.
-func read(r *http.Request, m *reservation, most int) ([]byte, *result.Failure) {
+// readBody reads a body of at most so many bytes and extends the reservation as it grows.
+func readBody(r *http.Request, m *reservation, most int) ([]byte, *result.Failure) {
 	if r.ContentLength > int64(most) {
 		return nil, result.New(result.BodyTooLarge, "the body is longer than %d bytes", most)
 	}
-	end := time.Now().Add(bodyTimeout)
+	end := time.Now().Add(BodyTimeout)
 	limit := most + 1
 	if r.ContentLength >= 0 {
 		limit = int(r.ContentLength) + 1 // the last byte is for the read that returns the end
 	}
-	b := make([]byte, 0, min(limit, freeBody))
+	b := make([]byte, 0, min(limit, FreeBody))
 	for {
 		n, err := r.Body.Read(b[len(b):cap(b)])
 		b = b[:len(b)+n]
@@ -67,7 +64,7 @@
 		case err != nil:
 			return nil, result.New(result.MalformedRequest, "reading the body: %v", err)
 		case time.Now().After(end):
-			return nil, result.New(result.MalformedRequest, "the body took longer than %s", bodyTimeout)
+			return nil, result.New(result.MalformedRequest, "the body took longer than %s", BodyTimeout)
 		case len(b) < cap(b):
 			continue
 		}
@@ -79,7 +76,7 @@
 	}
 }
 
-// reservation is the part of bodyMemory, in bytes, that one request holds.
+// reservation is the part of the memory of all bodies, in bytes, that one request holds.
 type reservation struct {
 	memory *semaphore.Weighted
 	held   int64
