batchrun: Wait for an item's route by any leader's clock

What callers would see: an item ends as errored although its route is on its way to the leading batch VM.

Cause: as for the retention, acceptance and age come from the clocks of two leaders, which may differ by 10 s, all of routeGrace.

Change: clockMargin is added here, too.

Evidence: TestItemWaitsForItsRouteByAnyLeadersClock failed before (the result was there after 9 s) and passes now.

--- a/internal/transport/batchrun/runner.go
+++ b/internal/transport/batchrun/runner.go
@@ -207,14 +207,14 @@
 }
 
 // pendingItem returns an item with the service to run it, or false when it can't start now. An item that has no route even
-// after routeGrace ends as errored.
+// after routeGrace and clockMargin ends as errored.
 func (r *Runner) pendingItem(ctx context.Context, now time.Time, p *plan.Plan, j *docket.Job, k filler.Key, x *item) (filler.Pending, bool) {
 	if x.run != nil || x.committing || now.Before(x.notBefore) {
 		return filler.Pending{}, false
 	}
 	u := x.routeOf(p, j.Host, j.Items[k.Item].Path)
 	if u == nil {
-		if j.Age(now) > routeGrace {
+		if j.Age(now) > routeGrace+clockMargin {
 			r.commitResult(ctx, k, docket.Errored, "")
 		}
 		return filler.Pending{}, false
--- a/internal/transport/batchrun/runner_test.go
+++ b/internal/transport/batchrun/runner_test.go
@@ -172,7 +172,11 @@
 func (w *fixture) submit(id string, items int) { w.submitAt(id, items, time.Now()) }
 
 func (w *fixture) submitAt(id string, items int, accepted time.Time) {
-	j := docket.Job{ID: id, Account: "x", Host: "h", Accepted: accepted}
+	w.submitTo("h", id, items, accepted)
+}
+
+func (w *fixture) submitTo(host, id string, items int, accepted time.Time) {
+	j := docket.Job{ID: id, Account: "x", Host: host, Accepted: accepted}
 	for i := range items {
 		j.Items = append(j.Items, docket.Item{ID: fmt.Sprint(id, i), Path: "/p", Tokens: 100})
 	}
@@ -385,6 +389,18 @@
 	})
 }
 
+// TestItemWaitsForItsRouteByAnyLeadersClock guards against items that end as errored while the configuration with their route is
+// still on its way, because the clocks of two leaders differ.
+func TestItemWaitsForItsRouteByAnyLeadersClock(t *testing.T) {
+	runFixture(t, &engine{}, func(w *fixture) {
+		w.submitTo("new.host", "j", 1, time.Now().Add(-9*time.Second))
+		time.Sleep(routeGrace - time.Second)
+		require.Empty(t, w.results("j"))
+		time.Sleep(clockMargin + time.Second)
+		require.Equal(t, docket.Errored, w.results("j")[0].Outcome)
+	})
+}
+
 func TestHintsHoldTheLoadsOfOtherVMs(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		h := NewHub(slog.New(slog.DiscardHandler))
