relay, platform: Log the segments of a prompt where a response breaks off

The adapter decodes the ids of all segments of a prompt but the last, which is the request's own; the lines of broken attempts and streams list them. Placement is unchanged: the session is still the last shared segment.

--- a/internal/transport/relay/exchange.go
+++ b/internal/transport/relay/exchange.go
@@ -238,7 +238,7 @@
 func (x *exchange) noResponse(ctx context.Context, c dispatch.Choice, err error, silent bool, took time.Duration) verdict {
 	var n httpconn.NotSent
 	x.reason = err.Error()
-	x.r.d.Log.Info("attempt failed", "request", x.a.ID, "upstream", c.ID, "load", c.Load, "took", took, "silent", silent, "error", err)
+	x.r.d.Log.Info("attempt failed", "request", x.a.ID, "upstream", c.ID, "load", c.Load, "took", took, "silent", silent, "segments", x.a.Segments, "error", err)
 	if errors.As(err, &n) {
 		if ctx.Err() != nil {
 			return dropped
--- a/internal/transport/relay/stream.go
+++ b/internal/transport/relay/stream.go
@@ -129,7 +129,8 @@
 // interrupted returns the verdict on a stream that ended early; silent is set when the gap timer had expired. After any
 // other error the same upstream is preferred, since it holds the stream's state.
 func (x *exchange) interrupted(ctx context.Context, c dispatch.Choice, silent bool) verdict {
-	x.r.d.Log.Info("stream interrupted", "request", x.a.ID, "upstream", c.ID, "event", x.lastEvent, "silent", silent)
+	x.r.d.Log.Info("stream interrupted", "request", x.a.ID, "upstream", c.ID, "event", x.lastEvent, "silent", silent,
+		"segments", x.a.Segments)
 	x.reason = "the stream broke off"
 	if silent {
 		x.reason = "the stream fell silent"
