relay, batchrun: Take a stream that ends with its connection before its first event for broken off

Change: without length and chunks, a stream that ends before any event is broken off: resumed where the route allows, and evidence for the Tracker. One that ends within an event was broken off before, too. A resumed stream may be empty, as the caller may have its last event.

Evidence: the case "end with the connection before the first event" failed before (one attempt, an empty 200). The cases "end with the connection" and "within an event" passed before, and so does TestResponseMayEndWithItsConnection: http.ReadResponse reads such bodies to the end of the connection and the pool doesn't reuse it. What remains: a crash between two events of such a stream, ended by a FIN, can't be told from its end.

--- a/internal/transport/batchrun/carry.go
+++ b/internal/transport/batchrun/carry.go
@@ -76,7 +76,7 @@
 			return broken
 		case eventErr != nil || noData > maxNoDataBytes:
 			return broken
-		case err == io.EOF && e.Rest() == 0:
+		case err == io.EOF && e.Complete(a):
 			tracked.Complete()
 			return complete
 		case err != nil:
--- a/internal/transport/httpconn/pool_test.go
+++ b/internal/transport/httpconn/pool_test.go
@@ -125,6 +125,24 @@
 
 // TestDuplicateOfAnEarlierResponseIsDiscarded sends the response to the first request twice: the second request must
 // not get the duplicate.
+// TestResponseMayEndWithItsConnection sends responses that have neither a length nor chunks.
+func TestResponseMayEndWithItsConnection(t *testing.T) {
+	u := &upstream{respond: func(c net.Conn, _ int) bool {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: x\r\n\r\nsome")
+		time.Sleep(10 * time.Millisecond)
+		_, _ = io.WriteString(c, " text")
+		return false
+	}}
+	withUpstream(t, u, func(p *httpconn.Pool, _ *fakenet.Net) {
+		for range 2 {
+			b, err := do(p, "x", 10)
+			require.NoError(t, err)
+			require.Equal(t, "some text", b)
+		}
+		require.Equal(t, 2, u.conns, "the connection can't be used again")
+	})
+}
+
 func TestDuplicateOfAnEarlierResponseIsDiscarded(t *testing.T) {
 	u := &upstream{}
 	u.respond = func(c net.Conn, n int) bool {
--- a/internal/transport/relay/relay_test.go
+++ b/internal/transport/relay/relay_test.go
@@ -37,6 +37,8 @@
 	other  bool
 	plain  bool // without the upstream's signature
 
+	unframed bool // the response ends with its connection
+
 	endless string        // repeated after the text, up to maxEndless bytes
 	pause   time.Duration // before each repetition
 }
@@ -63,7 +65,7 @@
 	if r.err != nil {
 		return nil, r.err
 	}
-	a := &relay.Response{Status: 200, Length: -1, NotRun: r.notRun, AddressReassigned: r.other, Signed: !r.plain, Header: http.Header{"Up": {s.Upstream}}}
+	a := &relay.Response{Status: 200, Length: -1, NotRun: r.notRun, AddressReassigned: r.other, Signed: !r.plain, Unframed: r.unframed, Header: http.Header{"Up": {s.Upstream}}}
 	if r.status != 0 {
 		a.Status = r.status
 	}
@@ -289,6 +291,9 @@
 		{"reset between events", []reaction{{body: events(1, 2), end: errReset}, {body: events(3, 5)}}, []uint64{0, 2}, true},
 		{"reset within an event", []reaction{{body: events(1, 2) + "id: 3\nda", end: errReset}, {body: events(3, 5)}}, []uint64{0, 2}, true},
 		{"end within an event", []reaction{{body: events(1, 2) + "id: 3\nda"}, {body: events(3, 5)}}, []uint64{0, 2}, true},
+		{"end with the connection", []reaction{{body: events(1, 5), unframed: true}}, []uint64{0}, true},
+		{"end with the connection within an event", []reaction{{body: events(1, 2) + "id: 3\nda", unframed: true}, {body: events(3, 5)}}, []uint64{0, 2}, true},
+		{"end with the connection before the first event", []reaction{{unframed: true}, {body: events(1, 5)}}, []uint64{0, 0}, true},
 		{"an event is missing", []reaction{{body: events(1, 2) + events(4, 5)}, {body: events(3, 5)}}, []uint64{0, 2}, true},
 		{"idle in the middle", []reaction{{body: events(1, 2), stall: true}, {body: events(3, 5)}}, []uint64{0, 2}, true},
 		{"unresponsive from the start", []reaction{{wait: time.Hour}, {body: events(1, 5)}}, []uint64{0, 0}, true},
--- a/internal/transport/relay/stream.go
+++ b/internal/transport/relay/stream.go
@@ -46,7 +46,7 @@
 			}
 			progress = e.Rest() < incomplete+n
 		}
-		if err == io.EOF && e.Rest() == 0 {
+		if err == io.EOF && e.Complete(a) {
 			return x.finish(a)
 		}
 		if err != nil || silent {
@@ -176,6 +176,12 @@
 // Rest returns the number of buffered bytes of an incomplete event.
 func (e *Events) Rest() int { return len(e.rest) }
 
+// Complete reports whether a response that has ended is complete: it did not end within an event, and one without a length or
+// chunks has had an event, since it also ends so when its upstream crashes.
+func (e *Events) Complete(a *Response) bool {
+	return len(e.rest) == 0 && (!a.Unframed || e.last > 0)
+}
+
 // Last returns the id of the last complete event.
 func (e *Events) Last() uint64 { return e.last }
 
