throttle: Admit bursts of five requests to a limited upstream

Change: depth 5, so that 4 s yield at most 4 times the limit plus 5; items get what is left only from 4 tokens on. Ruled out: sending more than the limit, up to the rule's 1.5 times: the upstream says what it takes.

--- a/internal/coordination/throttle/ledger.go
+++ b/internal/coordination/throttle/ledger.go
@@ -6,7 +6,8 @@
 
 // Policy of a Ledger. Over any time t an upstream gets at most rate*t + depth requests.
 const (
-	depth         = 2.0                    // requests that may be admitted at once
+	depth         = 5.0                    // requests that may be admitted at once: bursts are served from what calmer seconds left
+	itemLevel     = depth - 1              // from which on items get what online requests leave
 	batchFraction = 0.25                   // of a limit, which batch items get beside online requests; beyond it they get what these leave
 	minRate       = 0.2                    // requests per second: a lower limit, too, gets a request now and then, to learn when it has ended
 	maxWait       = 5 * time.Second        // until a request is tried again: the limit may have ended meanwhile
@@ -59,12 +60,12 @@
 		return true, 0
 	}
 	a.refill(now)
-	if batch && a.batchLevel < 1 && a.level < depth {
-		return false, max(refusedWait, min(a.until(1-a.batchLevel, batchFraction), a.until(depth-a.level, 1)))
+	if batch && a.batchLevel < 1 && a.level < itemLevel {
+		return false, max(refusedWait, min(a.until(1-a.batchLevel, batchFraction), a.until(itemLevel-a.level, 1)))
 	}
 	needed := 1.0
 	if !batch && a.batchLevel >= 1 && now.Before(a.reservedUntil) {
-		needed = depth // the other token is the item's
+		needed = 2 // one token is the item's
 	}
 	if a.level < needed {
 		wait = a.until(needed-a.level, 1)
