dispatch, batchrun: Refuse at once what limited upstreams can't serve in time

Cause: the forecast knew only services whose upstreams are all limited, and an even part of the limits for this VM; and the scheduler filled all slots of a limited upstream, each of which asked. Change: where an upstream of the service is limited, the wait is the queue ahead over the rate at which slots were assigned here lately; a request that would wait longer than it may is refused at once, and told that wait. At a limited upstream one item at a time asks. Services without limits are treated as before.

--- a/internal/command/node/entry.go
+++ b/internal/command/node/entry.go
@@ -64,7 +64,7 @@
 	m := n.member
 	m.buckets = share.NewBuckets(slackFraction * n.Settings.QuotaSlack)
 	m.onList = func(l []roster.Upstream) { e.pool.SetUpstreams(time.Now(), l) }
-	m.onLimits = func(l map[string]float64) { e.pool.SetLimits(time.Now(), l, len(m.addresses(roster.Entry))) }
+	m.onLimits = func(l map[string]float64) { e.pool.SetLimits(time.Now(), l) }
 	t, err := telemetry.NewTraffic(n.Telemetry.Meter())
 	if err != nil {
 		return nil, err
--- a/internal/command/node/limiter.go
+++ b/internal/command/node/limiter.go
@@ -12,6 +12,7 @@
 	"snipetack/internal/coordination/throttle"
 	"snipetack/internal/state/group"
 	"snipetack/internal/state/wire"
+	"snipetack/internal/transport/batchrun"
 	"snipetack/internal/transport/link"
 	"snipetack/internal/transport/relay"
 )
@@ -39,7 +40,10 @@
 	avoidUntil time.Time // no calls to the leading control VM before this time
 }
 
-var _ relay.LimitProvider = (*limiter)(nil)
+var (
+	_ relay.LimitProvider    = (*limiter)(nil)
+	_ batchrun.LimitProvider = (*limiter)(nil)
+)
 
 func newLimiter(l *link.Link, m *member, batch bool) *limiter {
 	return &limiter{calls: l, m: m, batch: batch, pacer: throttle.NewPacer(rand.Float64)}
@@ -54,6 +58,12 @@
 	l.m.requestReport()
 }
 
+// Limited reports whether an upstream has a limit.
+func (l *limiter) Limited(upstream string) bool {
+	_, ok := l.m.limits.Get(upstream)
+	return ok
+}
+
 // Take admits a request to an upstream, or returns how long to wait until one may be admitted there.
 func (l *limiter) Take(ctx context.Context, upstream string) (bool, time.Duration) {
 	x, ok := l.m.limits.Get(upstream)
--- a/internal/coordination/dispatch/dispatch_test.go
+++ b/internal/coordination/dispatch/dispatch_test.go
@@ -92,7 +92,7 @@
 func TestLimitedUpstreamsAskForOneRequestAtATime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p, _ := newPool(time.Now(), 1)
-		p.SetLimits(time.Now(), map[string]float64{"up-0": 2}, 2)
+		p.SetLimits(time.Now(), map[string]float64{"up-0": 2})
 		wait := dispatch.Request{Service: "s", MaxWait: 5 * time.Second}
 		first, _, ok := p.Take(time.Now(), wait)
 		require.True(t, ok)
@@ -118,7 +118,7 @@
 		require.False(t, ok)
 		require.Nil(t, c, "the upstream's limit admits it too late")
 		require.Equal(t, 300*time.Millisecond, p.Forecast(time.Now(), "s"))
-		p.SetLimits(time.Now(), nil, 2)
+		p.SetLimits(time.Now(), nil)
 		_, _, ok = p.Take(time.Now(), wait)
 		require.True(t, ok, "the limit has ended")
 	})
--- a/internal/coordination/dispatch/pool.go
+++ b/internal/coordination/dispatch/pool.go
@@ -17,11 +17,13 @@
 	loadsExpiry     = time.Second            // age from which the reported loads of other VMs are ignored
 	minAvoidance    = 500 * time.Millisecond // how long an upstream is avoided after a first failure; doubles with each further one
 	maxAvoidance    = 4 * time.Second
-	fullPenalty     = 1.0                  // when a batch item has to be preempted first; scores are fractions of an upstream's slots
-	zonePenalty     = 0.13                 // for another data centre; outweighs about one request at an upstream of eight slots
-	connectBonus    = 0.25                 // where an idle connection is open: a new one costs a round trip during which the slot is occupied
-	affinityBonus   = 0.13                 // at most; the session's prompt may be cached where it was served before
-	coldPenalty     = 0.3                  // while the upstream warms up
+	fullPenalty     = 1.0  // when a batch item has to be preempted first; scores are fractions of an upstream's slots
+	zonePenalty     = 0.13 // for another data centre; outweighs about one request at an upstream of eight slots
+	connectBonus    = 0.25 // where an idle connection is open: a new one costs a round trip during which the slot is occupied
+	affinityBonus   = 0.13 // at most; the session's prompt may be cached where it was served before
+	coldPenalty     = 0.3  // while the upstream warms up
+	slotRateTime    = 1500 * time.Millisecond
+	minSlotRate     = 0.2                  // slots per second assumed where none was assigned lately
 	minLimitWait    = 5 * time.Millisecond // between requests for admission to a limited upstream
 	limitedPenalty  = 0.3                  // while the upstream names a limit: it is in need
 	waitersMax      = 2048                 // queued requests of one service
@@ -87,14 +89,14 @@
 type Pool struct {
 	d Deps
 
-	mu       sync.Mutex
-	byID     map[string]*upstream
-	services map[string][]*upstream
-	loadsAt  time.Time
-	limits   map[string]float64   // by upstream id
-	vms      int                  // entry VMs that share the limits
-	waiters  map[string][]*waiter // by service, in the order of before
-	lastSeq  uint64
+	mu        sync.Mutex
+	byID      map[string]*upstream
+	services  map[string][]*upstream
+	loadsAt   time.Time
+	limits    map[string]float64   // by upstream id
+	slotRates map[string]slotRate  // by service
+	waiters   map[string][]*waiter // by service, in the order of before
+	lastSeq   uint64
 }
 
 // Deps are the collaborators of a Pool.
@@ -107,10 +109,11 @@
 // New returns an empty Pool.
 func New(d Deps) *Pool {
 	return &Pool{
-		d:        d,
-		byID:     map[string]*upstream{},
-		services: map[string][]*upstream{},
-		waiters:  map[string][]*waiter{},
+		d:         d,
+		byID:      map[string]*upstream{},
+		services:  map[string][]*upstream{},
+		waiters:   map[string][]*waiter{},
+		slotRates: map[string]slotRate{},
 	}
 }
 
@@ -145,11 +148,11 @@
 	p.serveAll(now)
 }
 
-// SetLimits replaces the limits of upstreams in requests per second, by id; vms is the number of entry VMs that share them.
-func (p *Pool) SetLimits(now time.Time, limits map[string]float64, vms int) {
+// SetLimits replaces the limits of upstreams in requests per second, by id.
+func (p *Pool) SetLimits(now time.Time, limits map[string]float64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.limits, p.vms = limits, max(1, vms)
+	p.limits = limits
 	for id, u := range p.byID {
 		u.limit = limits[id]
 		if u.limit <= 0 {
@@ -183,6 +186,7 @@
 	}
 	wait = max(wait, minLimitWait)
 	u.asking, u.limitedUntil = false, now.Add(wait)
+	p.slotRates[u.Service] = p.slotRates[u.Service].uncount()
 	time.AfterFunc(wait, func() {
 		p.mu.Lock()
 		defer p.mu.Unlock()
@@ -191,32 +195,58 @@
 	p.end(now, c.ID)
 }
 
-// Forecast returns how long a further request of a service has to wait because of limits; it is 0 while an upstream without a
-// limit takes requests.
+// Forecast returns how long a further request of a service has to wait; it is 0 while none of its upstreams names a limit.
 func (p *Pool) Forecast(now time.Time, service string) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.forecast(now, service, len(p.waiters[service]))
 }
 
-// forecast returns the wait of a request that so many others are ahead of.
+// forecast returns the wait of a request that so many others are ahead of: they get slots at the rate of the last seconds.
 func (p *Pool) forecast(now time.Time, service string, ahead int) time.Duration {
-	rate := 0.0
-	first := time.Duration(math.MaxInt64)
+	limited, unlimited := false, false
+	first := time.Duration(math.MaxInt64) // until a limited upstream may admit a request
 	for _, u := range p.services[service] {
 		if u.Draining || now.Before(u.avoidUntil) {
 			continue
 		}
 		if u.limit <= 0 {
-			return 0
+			unlimited = true
+			continue
 		}
-		rate += u.limit
+		limited = true
 		first = min(first, max(0, u.limitedUntil.Sub(now)))
 	}
-	if rate == 0 {
+	if !limited {
 		return 0
 	}
-	return first + time.Duration(float64(ahead)*float64(max(1, p.vms))/rate*float64(time.Second))
+	if unlimited {
+		first = 0
+	}
+	rate := max(minSlotRate, p.slotRates[service].at(now))
+	return first + time.Duration(float64(ahead)/rate*float64(time.Second))
+}
+
+// slotRate measures how many slots per second are assigned, with a time constant of slotRateTime.
+type slotRate struct {
+	rate      float64 // as of decayedAt
+	decayedAt time.Time
+}
+
+// at returns the rate at a time.
+func (r slotRate) at(now time.Time) float64 {
+	return r.rate * math.Exp(-now.Sub(r.decayedAt).Seconds()/slotRateTime.Seconds())
+}
+
+// count adds a slot.
+func (r slotRate) count(now time.Time) slotRate {
+	return slotRate{rate: r.at(now) + 1/slotRateTime.Seconds(), decayedAt: now}
+}
+
+// uncount takes back a slot that was not used.
+func (r slotRate) uncount() slotRate {
+	r.rate = max(0, r.rate-1/slotRateTime.Seconds())
+	return r
 }
 
 // InFlight returns the requests in flight from this VM, by upstream id.
@@ -373,6 +403,7 @@
 func (p *Pool) assign(now time.Time, u *upstream, ticket uint64) Choice {
 	u.own++
 	u.asking = u.limit > 0
+	p.slotRates[u.Service] = p.slotRates[u.Service].count(now)
 	if ticket == 0 {
 		p.lastSeq++
 		ticket = p.lastSeq
--- a/internal/transport/batchrun/runner.go
+++ b/internal/transport/batchrun/runner.go
@@ -44,11 +44,18 @@
 	Retention time.Duration                            // time from a job's acceptance for which it is kept at least
 	Log       *slog.Logger
 
-	Limits      relay.LimitProvider
+	Limits      LimitProvider
 	Quarantines *quarantine.List
 	Crashes     *quarantine.Tracker
 }
 
+// LimitProvider keeps items within the limits that upstreams name.
+type LimitProvider interface {
+	relay.LimitProvider
+	// Limited reports whether an upstream has a limit.
+	Limited(upstream string) bool
+}
+
 // Runner runs the items of the docket's jobs while this VM leads; it is safe for concurrent use.
 type Runner struct {
 	d    Deps
@@ -252,12 +259,20 @@
 // capacities returns the slots of all upstreams and what occupies them.
 func (r *Runner) capacities(now time.Time) []filler.Capacity {
 	online := r.hub.Online(now)
+	running := map[string]int{}
+	for _, x := range r.runs {
+		running[x.Upstream]++
+	}
 	var l []filler.Capacity
 	for _, u := range r.d.List() {
+		slots := u.Slots
+		if r.d.Limits.Limited(u.ID) { // one item at a time asks for admission
+			slots = min(slots, online[u.ID]+running[u.ID]+1)
+		}
 		l = append(l, filler.Capacity{
 			ID:      u.ID,
 			Service: u.Service,
-			Slots:   u.Slots,
+			Slots:   slots,
 			Online:  online[u.ID],
 			Closed:  u.Draining || now.Before(r.closedUntil[u.ID]),
 		})
--- a/internal/transport/batchrun/runner_test.go
+++ b/internal/transport/batchrun/runner_test.go
@@ -140,6 +140,7 @@
 // noLimits admits all items.
 type noLimits struct{}
 
+func (noLimits) Limited(string) bool                                { return false }
 func (noLimits) Observe(string, float64)                            {}
 func (noLimits) Take(context.Context, string) (bool, time.Duration) { return true, 0 }
 
