quarantine, node: Log the end of an upstream with its suspects

A line `upstream crashed` names the prompts that had begun and those that waited for a header, so that an engineer sees what a quarantine rests on; one line an upstream that ends, at most eight segments a prompt.

--- a/internal/command/node/member.go
+++ b/internal/command/node/member.go
@@ -6,6 +6,7 @@
 	"net"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -22,15 +23,16 @@
 
 // Timing of a member.
 const (
-	syncInterval    = 200 * time.Millisecond // a tenth of the 2 s within which a configuration must be in force
-	syncPerVM       = 4 * time.Millisecond   // for each VM of a large fleet; the leader gets at most 250 reports a second
-	syncTimeout     = 350 * time.Millisecond
-	syncRetry       = 40 * time.Millisecond // after a failed report, plus a random time up to as much
-	reloadInterval  = 2 * time.Second       // between reads of the settings file while no leading control VM responds
-	leaderAvoidTime = time.Second           // the leader is not called for this time after a failed call
-	shareInterval   = time.Second           // between requests for shares, for use while the owner of the limits is unresponsive
-	maxControls     = 64                    // addresses
-	noLeaderReport  = 2 * time.Second       // between log lines while no control VM is found that leads
+	syncInterval      = 200 * time.Millisecond // a tenth of the 2 s within which a configuration must be in force
+	syncPerVM         = 4 * time.Millisecond   // for each VM of a large fleet; the leader gets at most 250 reports a second
+	syncTimeout       = 350 * time.Millisecond
+	syncRetry         = 40 * time.Millisecond // after a failed report, plus a random time up to as much
+	reloadInterval    = 2 * time.Second       // between reads of the settings file while no leading control VM responds
+	leaderAvoidTime   = time.Second           // the leader is not called for this time after a failed call
+	shareInterval     = time.Second           // between requests for shares, for use while the owner of the limits is unresponsive
+	maxControls       = 64                    // addresses
+	maxLoggedSegments = 8                     // of a prompt
+	noLeaderReport    = 2 * time.Second       // between log lines while no control VM is found that leads
 )
 
 var errNoControl = errors.New("no control VM is known")
@@ -83,7 +85,7 @@
 			m.onLimits(l)
 		}
 	})
-	m.crashes = quarantine.NewTracker(m.requestReport)
+	m.crashes = quarantine.NewTracker(m.upstreamCrashed)
 	m.seeds = seedLinks(n.Settings)
 	return m
 }
@@ -254,6 +256,21 @@
 	}
 }
 
+// upstreamCrashed logs the end of an upstream with the prompts that may have caused it, and reports it at once.
+func (m *member) upstreamCrashed(upstream string, suspects []quarantine.Suspect) {
+	var begun, waiting []string
+	for _, s := range suspects {
+		l := strings.Join(s.Segments[:min(len(s.Segments), maxLoggedSegments)], ",")
+		if s.Begun {
+			begun = append(begun, l)
+		} else {
+			waiting = append(waiting, l)
+		}
+	}
+	m.n.Log.Warn("upstream crashed", "upstream", upstream, "begun", begun, "waiting", waiting)
+	m.requestReport()
+}
+
 // requestReport requests a report before the interval is over.
 func (m *member) requestReport() {
 	select {
--- a/internal/coordination/quarantine/tracker.go
+++ b/internal/coordination/quarantine/tracker.go
@@ -52,7 +52,7 @@
 
 // Tracker collects what one VM sees of crashes; it is safe for concurrent use.
 type Tracker struct {
-	onCrash func()
+	onCrash func(upstream string, suspects []Suspect)
 
 	mu          sync.Mutex
 	respondedAt map[string]time.Time // when bytes last came from an upstream with runs or breaks
@@ -90,7 +90,7 @@
 }
 
 // NewTracker returns a Tracker without observations. It calls onCrash, which must not block, after each crash.
-func NewTracker(onCrash func()) *Tracker {
+func NewTracker(onCrash func(upstream string, suspects []Suspect)) *Tracker {
 	return &Tracker{
 		onCrash:     onCrash,
 		respondedAt: map[string]time.Time{},
@@ -256,7 +256,7 @@
 		t.crashes = append(t.crashes, &crash{upstream: upstream, at: b.at, suspects: b.suspects, number: t.lastNumber})
 	}
 	t.mu.Unlock()
-	t.onCrash()
+	t.onCrash(upstream, b.suspects)
 }
 
 // recordSound counts a response that went on.
--- a/internal/coordination/quarantine/tracker_test.go
+++ b/internal/coordination/quarantine/tracker_test.go
@@ -29,7 +29,7 @@
 	for _, c := range table {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				tr := quarantine.NewTracker(func() {})
+				tr := quarantine.NewTracker(func(string, []quarantine.Suspect) {})
 				x, other := tr.Start("up", []string{"a", "p"}), tr.Start("up", []string{"b"})
 				if c.begun {
 					x.Begun()
@@ -55,7 +55,7 @@
 // TestTrackerReportsSoundSegments counts sound responses, leaves out common segments and clears suspected ones.
 func TestTrackerReportsSoundSegments(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		tr := quarantine.NewTracker(func() {})
+		tr := quarantine.NewTracker(func(string, []quarantine.Suspect) {})
 		for range 30 {
 			r := tr.Start("up", []string{"first", "session"})
 			r.Complete()
--- a/internal/transport/batchrun/runner_test.go
+++ b/internal/transport/batchrun/runner_test.go
@@ -153,7 +153,7 @@
 		p := &plan.Plan{Routes: []plan.Route{{Name: "r", Host: "h", Prefix: "/", Kind: plan.Batch, Due: 18 * time.Second, Attempts: 3,
 			Targets: []plan.Target{{Service: "s", Weight: 1}}}}}
 		p.Index()
-		r := New(Deps{Limits: noLimits{}, Quarantines: quarantine.NewList(), Crashes: quarantine.NewTracker(func() {}),
+		r := New(Deps{Limits: noLimits{}, Quarantines: quarantine.NewList(), Crashes: quarantine.NewTracker(func(string, []quarantine.Suspect) {}),
 			Segments:  func(map[string]string) []string { return nil },
 			Docket:    w.docket,
 			Upstreams: e,
--- a/internal/transport/batchrun/step_benchmark_test.go
+++ b/internal/transport/batchrun/step_benchmark_test.go
@@ -44,7 +44,7 @@
 	for i := range burstEntries {
 		h.Receive(fmt.Sprint("entry-", i), EncodeCounts(full))
 	}
-	r := New(Deps{Limits: noLimits{}, Quarantines: quarantine.NewList(), Crashes: quarantine.NewTracker(func() {}),
+	r := New(Deps{Limits: noLimits{}, Quarantines: quarantine.NewList(), Crashes: quarantine.NewTracker(func(string, []quarantine.Suspect) {}),
 		Segments: func(map[string]string) []string { return nil }, Docket: d, Leads: func() bool { return true }, Plan: func() *plan.Plan { return p },
 		List: func() []roster.Upstream { return l }, Retention: time.Hour, Log: slog.New(slog.DiscardHandler)}, h)
 	for b.Loop() {
