quarantine: Count each crash of an upstream that returns under its id

Change: reports within a second of each other are of one end, others of another. TestUpstreamThatReturnsUnderItsIDCrashesAgain failed before (nothing decided after three crashes) and passes.

--- a/internal/coordination/quarantine/detector.go
+++ b/internal/coordination/quarantine/detector.go
@@ -19,8 +19,9 @@
 	chanceFactor  = 3    // multiple of what chance gives a segment of its share, in the other crashes, by which its weight must exceed minWeight
 	minShare      = 0.01 // assumed share of sound prompts at least; a wave of crashes hits many requests of one session
 	maxEnds       = 256
-	maxQuarantine = 8  // segments of one quarantine
-	maxSuspected  = 64 // segments in Suspects
+	sameEnd       = time.Second // by which reports of one crash differ at most; an upstream takes longer to return
+	maxQuarantine = 8           // segments of one quarantine
+	maxSuspected  = 64          // segments in Suspects
 
 	// Without enough sound responses nothing shows which segments are common. Then five crashes are required, and a quarantine has
 	// at least two segments, of which one may be common, and explains nearly all crashes.
@@ -31,7 +32,7 @@
 
 // Detector finds the segments that crash upstreams in the reports of all VMs. It is not safe for concurrent use.
 type Detector struct {
-	ends    map[string]*end      // by upstream
+	ends    []*end
 	matched map[string]time.Time // when a quarantine last held a prompt back, by its key
 	cleared map[string]time.Time // when a suspected segment was last in a sound response
 
@@ -42,13 +43,14 @@
 
 // end is the end of one upstream as all VMs saw it.
 type end struct {
-	at      time.Time
-	reports map[string]Crash // by VM
+	upstream string
+	at       time.Time
+	reports  map[string]Crash // by VM
 }
 
 // NewDetector returns a Detector without reports.
 func NewDetector() *Detector {
-	return &Detector{ends: map[string]*end{}, matched: map[string]time.Time{}, cleared: map[string]time.Time{}}
+	return &Detector{matched: map[string]time.Time{}, cleared: map[string]time.Time{}}
 }
 
 // Report adds the crashes that a VM has seen; a later report of the same crash by the VM replaces the earlier one. matched lists
@@ -67,17 +69,24 @@
 		if c.Age > evidenceTime {
 			continue
 		}
-		e := d.ends[c.Upstream]
-		if e == nil {
-			e = &end{at: now.Add(-c.Age), reports: map[string]Crash{}}
-			d.ends[c.Upstream] = e
-		}
-		e.reports[vm] = c
+		d.endOf(c.Upstream, now.Add(-c.Age)).reports[vm] = c
 		d.changed = true
 	}
 	d.expire(now)
 }
 
+// endOf returns the end of an upstream at about a time. An upstream may return under its id and crash again.
+func (d *Detector) endOf(upstream string, at time.Time) *end {
+	for _, e := range d.ends {
+		if e.upstream == upstream && at.Sub(e.at).Abs() < sameEnd {
+			return e
+		}
+	}
+	e := &end{upstream: upstream, at: at, reports: map[string]Crash{}}
+	d.ends = append(d.ends, e)
+	return e
+}
+
 // Decide returns the quarantines to add to those in force.
 //
 // Of the segments that explain enough crashes it takes the one that explains most. Segments that all suspects with it have, too,
@@ -171,26 +180,18 @@
 
 // expire drops ends that are older than evidenceTime, and the oldest ones beyond maxEnds.
 func (d *Detector) expire(now time.Time) {
-	for u, e := range d.ends {
-		if now.Sub(e.at) > evidenceTime {
-			delete(d.ends, u)
-			d.changed = true
-		}
+	n := len(d.ends)
+	d.ends = slices.DeleteFunc(d.ends, func(e *end) bool { return now.Sub(e.at) > evidenceTime })
+	if len(d.ends) > maxEnds {
+		slices.SortStableFunc(d.ends, func(a, b *end) int { return a.at.Compare(b.at) })
+		d.ends = slices.Delete(d.ends, 0, len(d.ends)-maxEnds)
 	}
+	d.changed = d.changed || len(d.ends) != n
 	for s, at := range d.cleared {
 		if now.Sub(at) > evidenceTime {
 			delete(d.cleared, s)
 		}
 	}
-	for len(d.ends) > maxEnds {
-		oldest := ""
-		for u, e := range d.ends {
-			if oldest == "" || e.at.Before(d.ends[oldest].at) {
-				oldest = u
-			}
-		}
-		delete(d.ends, oldest)
-	}
 }
 
 // shares returns the greatest share of a VM's sound prompts that have a segment, and whether a VM has seen enough of them.
--- a/internal/coordination/quarantine/detector_test.go
+++ b/internal/coordination/quarantine/detector_test.go
@@ -109,6 +109,21 @@
 	require.Equal(t, q, d.Expired(now, q))
 }
 
+// TestUpstreamThatReturnsUnderItsIDCrashesAgain reports three crashes of one upstream, each by two VMs.
+func TestUpstreamThatReturnsUnderItsIDCrashesAgain(t *testing.T) {
+	now := time.Unix(1000, 0)
+	d := quarantine.NewDetector()
+	for i := range 3 {
+		require.Empty(t, d.Decide(now, nil), "after %d crashes", i)
+		d.Report(now, "a", []quarantine.Crash{crashOf("up", "p", fmt.Sprint(i))}, nil, nil)
+		late := crashOf("up", "p", fmt.Sprint(i))
+		late.Age = 200 * time.Millisecond
+		d.Report(now.Add(300*time.Millisecond), "b", []quarantine.Crash{late}, nil, nil)
+		now = now.Add(4 * time.Second)
+	}
+	require.Equal(t, []plan.Quarantine{{Segments: []string{"p"}}}, d.Decide(now, nil))
+}
+
 // TestSoundResponseClearsEarlierCrashes reports a sound response between the second crash and the third.
 func TestSoundResponseClearsEarlierCrashes(t *testing.T) {
 	now := time.Unix(1000, 0)
