node: Keep a limited upstream for others when a caller leaves during its admission

Found by reading: a caller that left while its request waited for the ledger took the upstream out of this VM's choice for 300 ms.

--- a/internal/command/node/limiter.go
+++ b/internal/command/node/limiter.go
@@ -64,7 +64,8 @@
 	return ok
 }
 
-// Take admits a request to an upstream, or returns how long to wait until one may be admitted there.
+// Take admits a request to an upstream, or returns how long to wait until one may be admitted there. It returns false and 0 when
+// ctx ends first.
 func (l *limiter) Take(ctx context.Context, upstream string) (bool, time.Duration) {
 	x, ok := l.m.limits.Get(upstream)
 	if !ok {
@@ -76,7 +77,7 @@
 			return a.admitted, a.wait
 		}
 		if ctx.Err() != nil {
-			return false, ownerAvoidTime
+			return false, 0
 		}
 		l.m.n.Log.Warn("owner of the upstreams' limits not reached; requests get an even share", "peer", leader, "error", err)
 		l.mu.Lock()
