--- a/internal/coordination/quarantine/tracker.go
+++ b/internal/coordination/quarantine/tracker.go
@@ -25,8 +25,8 @@
 
 // Crash is what one VM saw of the end of an upstream.
 type Crash struct {
-	Upstream string // id
-	Age      time.Duration
+	Upstream string        // id
+	Age      time.Duration // since the first response broke off
 	Suspects []Suspect
 	Sound    []SegmentCount // of the suspects' segments
 	Observed int            // sound responses that the VM has seen lately
@@ -38,10 +38,10 @@
 	Count   int
 }
 
-// Clearance says how long ago a response to a prompt with a suspected segment went on.
+// Clearance says that a response to a prompt with a suspected segment has gone on, so that earlier crashes don't count against it.
 type Clearance struct {
 	Segment string
-	Age     time.Duration
+	Age     time.Duration // of the newest such response
 }
 
 // Suspect is a request that was at an upstream when it crashed and whose response had not gone on.
