platform, roster, relay: Carry the versions of upstreams and log them with placements

The list of upstreams names the version of each one's software, and a caller that takes a stream up names the attempt that began it; neither was decoded, so no log told whether a stream had gone on at another version. Both are now, and request placed has them as software and origin. An older build skips the new field of the list; it gets whole lists instead of changes meanwhile, as its tag of the changed list is another one.

--- a/internal/coordination/dispatch/pool.go
+++ b/internal/coordination/dispatch/pool.go
@@ -51,7 +51,8 @@
 type Choice struct {
 	ID      string
 	Address string
-	Load    int // requests and batch items in flight there from all VMs, including this request
+	Version string // of its software
+	Load    int    // requests and batch items in flight there from all VMs, including this request
 	Slots   int
 	Limited bool   // the upstream names a limit: it gets no other request from here until Admitted or Limited
 	Ticket  uint64 // place in the queue
@@ -418,7 +419,7 @@
 		p.lastSeq++
 		ticket = p.lastSeq
 	}
-	c := Choice{Limited: u.asking, Ticket: ticket, ID: u.ID, Address: u.Address, Load: u.own + p.others(now, u).Online + p.others(now, u).Batch, Slots: u.Slots}
+	c := Choice{Limited: u.asking, Ticket: ticket, ID: u.ID, Address: u.Address, Version: u.Version, Load: u.own + p.others(now, u).Online + p.others(now, u).Batch, Slots: u.Slots}
 	if c.Slots > 0 && c.Load > c.Slots && p.others(now, u).Batch > 0 {
 		p.d.OnPreemption(c)
 	}
--- a/internal/coordination/roster/codec.go
+++ b/internal/coordination/roster/codec.go
@@ -236,6 +236,7 @@
 		e.Bool(6, u.Draining)
 		e.Duration(7, u.Cold)
 		e.Int(8, u.Born)
+		e.Text(9, u.Version)
 	})
 }
 
@@ -260,6 +261,8 @@
 			u.Cold = d.Duration()
 		case 8:
 			u.Born = d.Int()
+		case 9:
+			u.Version = d.Text()
 		}
 	}
 	p.Fail(d.Err())
--- a/internal/coordination/roster/types.go
+++ b/internal/coordination/roster/types.go
@@ -32,6 +32,7 @@
 	Service  string
 	Address  string
 	Zone     string
+	Version  string        // of its software; what two versions write doesn't fit together in one stream
 	Slots    int           // max concurrent requests; 0 means no limit for online requests and no batch items
 	Draining bool          // takes no new requests
 	Cold     time.Duration // remaining warm-up time
--- a/internal/transport/relay/exchange.go
+++ b/internal/transport/relay/exchange.go
@@ -101,7 +101,7 @@
 // logAttempt logs the upstream of an attempt with the values that determined it.
 func (x *exchange) logAttempt(c dispatch.Choice) {
 	x.r.d.Log.Info("request placed", "request", x.a.ID, "account", x.a.Account.Name, "route", x.a.Route.Name, "configuration", x.a.Version,
-		"attempt", x.attempts, "upstream", c.ID, "load", c.Load, "slots", c.Slots, "event", x.lastEvent, "waited", x.slotTaken.Sub(x.a.Arrived))
+		"attempt", x.attempts, "upstream", c.ID, "software", c.Version, "load", c.Load, "slots", c.Slots, "event", x.lastEvent, "origin", x.a.Origin, "waited", x.slotTaken.Sub(x.a.Arrived))
 }
 
 // repeatable reports whether the request may be sent again after an upstream may have run it.
