platform, roster: Leave odd entries out of the list of upstreams

Negative slots that an older build passes on arrive as 0, no limit; that can't be told apart.

Upstream moved to a file of its own.

--- a/internal/command/node/member.go
+++ b/internal/command/node/member.go
@@ -702,13 +702,29 @@
 			m.listTag = 0
 			return false, false
 		}
-		m.upstreams, m.listTag, changed = l, b.ListTag, true
+		m.upstreams, m.listTag, changed = m.checked(l), b.ListTag, true
 	}
 	m.listRead = read
 	m.history.Observe(m.upstreams, read)
 	return changed, true
 }
 
+// checked returns the upstreams that can exist. The VM that has read the list leaves the others out, unless it runs an older build.
+func (m *member) checked(l []roster.Upstream) []roster.Upstream {
+	if !slices.ContainsFunc(l, func(u roster.Upstream) bool { return u.Check() != nil }) {
+		return l
+	}
+	out := make([]roster.Upstream, 0, len(l))
+	for _, u := range l {
+		if err := u.Check(); err != nil {
+			m.n.Log.Warn("upstream left out", "error", err)
+			continue
+		}
+		out = append(out, u)
+	}
+	return out
+}
+
 // adoptLeader updates which control VM leads; current is false for a bulletin of a VM without contact to the leader. m.mu is held.
 func (m *member) adoptLeader(now time.Time, from string, b roster.Bulletin, current bool) {
 	switch {
--- a/internal/command/node/member_test.go
+++ b/internal/command/node/member_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"log/slog"
+	"math"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -70,3 +72,30 @@
 		})
 	}
 }
+
+// TestOddUpstreamsOfAnOlderLeaderAreLeftOut gets a list with entries that a VM of an older build has passed on.
+func TestOddUpstreamsOfAnOlderLeaderAreLeftOut(t *testing.T) {
+	m := newMember(&Node{Deps: Deps{Log: slog.New(slog.DiscardHandler)}}, roster.VM{Name: "e", Address: "10.9.0.1:1", Class: roster.Entry, Zone: "a"})
+	valid := roster.Upstream{ID: "i-0", Service: "s", Address: "10.0.0.2:80", Slots: 8}
+	odd := []func(u *roster.Upstream){
+		func(u *roster.Upstream) { u.Slots = math.MaxInt },
+		func(u *roster.Upstream) { u.Cold = math.MaxInt64 },
+		func(u *roster.Upstream) { u.Cold = -1 },
+		func(u *roster.Upstream) { u.Address = "10.0.0.2:99999" },
+		func(u *roster.Upstream) { u.Address = "10.0.0.2" },
+		func(u *roster.Upstream) { u.ID = strings.Repeat("i", 1000) },
+	}
+	l := []roster.Upstream{valid}
+	for i, f := range odd {
+		u := valid
+		u.ID = fmt.Sprint("odd-", i)
+		f(&u)
+		l = append(l, u)
+	}
+	b, err := roster.DecodeBulletin(roster.EncodeBulletin(roster.Bulletin{Leads: true, ListTag: 5, Upstreams: l}))
+	require.NoError(t, err)
+	changed, complete := m.adoptUpstreams(time.Now(), b, true)
+	require.True(t, changed)
+	require.True(t, complete)
+	require.Equal(t, []roster.Upstream{valid}, m.upstreams)
+}
--- a/internal/coordination/roster/types.go
+++ b/internal/coordination/roster/types.go
@@ -26,19 +26,6 @@
 	Zone    string
 }
 
-// Upstream is one replica that serves requests.
-type Upstream struct {
-	ID       string
-	Service  string
-	Address  string
-	Zone     string
-	Version  string        // of its software; what two versions write doesn't fit together in one stream
-	Slots    int           // max concurrent requests; 0 means no limit for online requests and no batch items
-	Draining bool          // takes no new requests
-	Cold     time.Duration // remaining warm-up time
-	Born     int64         // start of its process in Unix ms, which tells incarnations under one id apart; 0 when the list does not tell
-}
-
 // Report is the message in which a VM describes itself and what it has.
 type Report struct {
 	VM                    VM
