quarantine, dispatch: Bound the suspected requests in bulletins; keep the state of upstreams in a roll

Found by reading. (1) 64 fingerprints of 30 bytes in each bulletin for a minute after a wave of crashes would be 2 kB to each VM of a fleet of 300 at each report; 16 suffice, as only requests at two crashes or more are listed. (2) When a control VM of an older build takes over the lead during a roll, lists name no versions; an upstream that gains or loses the name of its version kept neither its requests in flight nor its penalties. No test for (2): the pool's tests of returning upstreams cover another version.

--- a/internal/coordination/dispatch/pool.go
+++ b/internal/coordination/dispatch/pool.go
@@ -128,7 +128,7 @@
 	p.services = map[string][]*upstream{}
 	for _, u := range l {
 		x := p.byID[u.ID]
-		if x == nil || x.Address != u.Address || x.Version != u.Version {
+		if x == nil || x.Address != u.Address || x.Version != u.Version && x.Version != "" && u.Version != "" { // an older leader names no versions
 			x = &upstream{}
 		}
 		x.Upstream = u
--- a/internal/coordination/quarantine/detector.go
+++ b/internal/coordination/quarantine/detector.go
@@ -23,7 +23,7 @@
 	maxEnds       = 256
 	sameEnd       = time.Second // by which reports of one crash differ at most; an upstream takes longer to return
 	maxQuarantine = 8           // segments of one quarantine
-	maxSuspected  = 64          // segments in Suspects, and as many fingerprints
+	maxSuspected  = 64          // segments in Suspects
 
 	// Without enough sound responses nothing shows which segments are common. Then five crashes are required, and a quarantine has
 	// at least two segments, of which one may be common, and explains nearly all crashes.
@@ -117,7 +117,7 @@
 	return out
 }
 
-// Suspects returns the segments and the fingerprints of requests against which there was most evidence at the last Decide, up to maxSuspected of each.
+// Suspects returns the segments and the fingerprints of requests against which there was most evidence at the last Decide, a bounded number of each.
 func (d *Detector) Suspects() []string { return d.suspects }
 
 func (d *Detector) mostSuspected(quarantines []plan.Quarantine) []string {
--- a/internal/coordination/quarantine/request.go
+++ b/internal/coordination/quarantine/request.go
@@ -14,6 +14,8 @@
 const (
 	minRequestCrashes = 3 // at which one request was in flight without progress
 	minSuspicion      = 2 // crashes from which on the VMs are asked for sound responses
+
+	maxSuspectedRequests = 16 // in Suspects, which each bulletin to each VM carries
 )
 
 // requests returns a quarantine for each request that crashes upstreams and is not in quarantine. Requests that were at the same crashes
@@ -34,14 +36,14 @@
 	return out
 }
 
-// suspectedRequests returns the fingerprints of the requests with most crashes.
+// suspectedRequests returns the fingerprints of the requests with most crashes, up to maxSuspectedRequests.
 func (d *Detector) suspectedRequests() []string {
 	crashes := d.requestCrashes()
 	maps.DeleteFunc(crashes, func(_ string, n int) bool { return n < minSuspicion })
 	l := slices.SortedFunc(maps.Keys(crashes), func(a, b string) int {
 		return cmp.Or(cmp.Compare(crashes[b], crashes[a]), strings.Compare(a, b))
 	})
-	return l[:min(len(l), maxSuspected)]
+	return l[:min(len(l), maxSuspectedRequests)]
 }
 
 // requestCrashes returns the number of crashes of each request, by fingerprint. Those before its last sound response do not count.
