--- a/internal/coordination/dispatch/version_test.go
+++ b/internal/coordination/dispatch/version_test.go
@@ -71,3 +71,18 @@
 	_, _, ok := p.Take(time.Now(), dispatch.Request{Service: "s", Pinned: true, Version: "v1", Prefer: l[0].ID, Only: l[0].ID, MaxWait: time.Second})
 	require.False(t, ok)
 }
+
+// TestUpstreamThatGainsItsVersionKeepsItsState gets lists without versions from a leader of an older build, and with them from the next one.
+func TestUpstreamThatGainsItsVersionKeepsItsState(t *testing.T) {
+	p, l := newVersionPool("v1")
+	_, _, ok := p.Take(time.Now(), dispatch.Request{Service: "s", MaxWait: time.Second})
+	require.True(t, ok)
+	for _, v := range []string{"", "v1"} {
+		l[0].Version = v
+		p.SetUpstreams(time.Now(), l)
+		require.Equal(t, map[string]int{l[0].ID: 1}, p.InFlight())
+	}
+	l[0].Version = "v2"
+	p.SetUpstreams(time.Now(), l)
+	require.Empty(t, p.InFlight(), "another one has returned under its id")
+}
