relay: Name the attempt that a request takes up after what it is

relay.Request.Origin held the id of an attempt, beside origin.Origin, the service and version at which a stream began: one name for two things. The field is TakesUp, and the log lines' key takes_up.

--- a/internal/command/node/origins.go
+++ b/internal/command/node/origins.go
@@ -89,7 +89,7 @@
 	if v, ok := o.m.history.Sole(time.Now(), service); ok {
 		return origin.Origin{Service: service, Version: v}, true
 	}
-	o.m.n.Log.Info("origin of a stream not known", "origin", request, "service", service, "sole", sole.Sole,
+	o.m.n.Log.Info("origin of a stream not known", "takes_up", request, "service", service, "sole", sole.Sole,
 		"batch_vms", len(o.m.originHolders()))
 	return sole.Origin, sole.Sole
 }
--- a/internal/transport/relay/exchange.go
+++ b/internal/transport/relay/exchange.go
@@ -100,7 +100,7 @@
 	if x.a.Resume == 0 || x.a.Route.Kind != plan.Stream || !x.a.Route.Resumable {
 		return nil
 	}
-	o, ok := x.r.d.Origins.Find(ctx, x.a.Account.Name, x.a.Origin, x.a.Service)
+	o, ok := x.r.d.Origins.Find(ctx, x.a.Account.Name, x.a.TakesUp, x.a.Service)
 	switch {
 	case !ok:
 		return originLost("the software version that began the stream is not known")
@@ -143,7 +143,7 @@
 // logAttempt logs the upstream of an attempt with the values that determined it.
 func (x *exchange) logAttempt(c dispatch.Choice) {
 	x.r.d.Log.Info("request placed", "request", x.a.ID, "account", x.a.Account.Name, "route", x.a.Route.Name, "configuration", x.a.Version,
-		"attempt", x.attempts, "upstream", c.ID, "software", c.Version, "load", c.Load, "slots", c.Slots, "event", x.lastEvent, "origin", x.a.Origin, "waited", x.slotTaken.Sub(x.a.Arrived))
+		"attempt", x.attempts, "upstream", c.ID, "software", c.Version, "load", c.Load, "slots", c.Slots, "event", x.lastEvent, "takes_up", x.a.TakesUp, "waited", x.slotTaken.Sub(x.a.Arrived))
 }
 
 // repeatable reports whether the request may be sent again after an upstream may have run it.
--- a/internal/transport/relay/origin_test.go
+++ b/internal/transport/relay/origin_test.go
@@ -56,7 +56,7 @@
 }
 
 func streamRequest(resume uint64, from string) *relay.Request {
-	return &relay.Request{ID: "q", Host: "h", Path: "/p", Key: "k", Arrived: time.Now(), Deadline: 5 * time.Second, Resume: resume, Origin: from}
+	return &relay.Request{ID: "q", Host: "h", Path: "/p", Key: "k", Arrived: time.Now(), Deadline: 5 * time.Second, Resume: resume, TakesUp: from}
 }
 
 // TestSilentStreamIsNotCutWithoutAnotherUpstream pauses a stream for longer than the gap limit: it is cut only where another upstream of its
--- a/internal/transport/relay/types.go
+++ b/internal/transport/relay/types.go
@@ -24,7 +24,7 @@
 	Arrived  time.Time
 	Deadline time.Duration // how long the caller waits, counted from Arrived; 0 when unknown
 	Resume   uint64        // id of the last event that the caller has; 0 when it has none
-	Origin   string        // id of the caller's attempt that brought the first event, where Resume is set; "" when unknown
+	TakesUp  string        // id of the caller's attempt that brought the first event of the stream, where Resume is set; "" when unknown
 	Session  string        // requests with the same value share most of their prompt; may be ""
 	Segments []string      // ids of the prompt's segments that other requests may share, in order
 }
