origin, node: Keep the versions that were seen over a loss of all power

Cause: what a VM knows of the versions of the last 30 s was in its memory only, and without that it can't exclude that a server of another version had just left.

Change: batch VMs write the versions of each service to a file of the data folder when they change, once the folder belongs to their group, and go on from there. A batch VM that knows of several versions overrules those that know of one: one that was down for long may have missed some.

--- a/internal/command/node/batch.go
+++ b/internal/command/node/batch.go
@@ -62,6 +62,7 @@
 	n.link.Receive(link.Load, b.hub.Receive)
 	n.link.Receive(link.Loads, b.receiveLoads)
 	n.link.Handle(link.Job, b.handle)
+	n.member.restoreVersions()
 	serveOrigins(n.link, n.member)
 	err := n.registerGauges(append(groupGauges(group.FirstJobs, b.replica.Load), gauge{"items_running", "Batch items at upstreams.", func() float64 {
 		sum := 0
@@ -78,6 +79,7 @@
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return b.collect(ctx) })
 	g.Go(func() error { return b.serve(ctx) })
+	g.Go(func() error { return b.n.member.keepVersions(ctx, func() bool { return b.replica.Load() != nil }) })
 	return g.Wait()
 }
 
--- a/internal/command/node/origins.go
+++ b/internal/command/node/origins.go
@@ -95,7 +95,7 @@
 }
 
 // ask asks all holders at once. It returns the first answer that knows the stream, else one that knows the service to have had only one version,
-// if there are such answers.
+// if no other one knows of several.
 func (o *origins) ask(ctx context.Context, q origin.Question) (known, sole origin.Answer) {
 	ctx, cancel := context.WithTimeout(ctx, originTimeout)
 	defer cancel()
@@ -115,14 +115,20 @@
 			answers <- a
 		}()
 	}
+	several := false
 	for range l {
-		switch a := <-answers; {
-		case a.Known:
+		a := <-answers
+		if a.Known {
 			return a, sole
-		case a.Sole:
+		}
+		several = several || a.Several
+		if a.Sole {
 			sole = a
 		}
 	}
+	if several {
+		return known, origin.Answer{}
+	}
 	return known, sole
 }
 
@@ -160,5 +166,5 @@
 		return origin.EncodeAnswer(origin.Answer{Known: true, Origin: at}), nil
 	}
 	v, ok := h.m.history.Sole(now, q.Service)
-	return origin.EncodeAnswer(origin.Answer{Sole: ok, Origin: origin.Origin{Service: q.Service, Version: v}}), nil
+	return origin.EncodeAnswer(origin.Answer{Sole: ok, Several: h.m.history.Several(q.Service), Origin: origin.Origin{Service: q.Service, Version: v}}), nil
 }
--- a/internal/coordination/origin/codec.go
+++ b/internal/coordination/origin/codec.go
@@ -59,6 +59,34 @@
 	return l, errors.Wrap(d.Err(), "decoding origins of streams")
 }
 
+// EncodeVersions encodes the versions of services.
+func EncodeVersions(l []Origin) []byte {
+	e := wire.NewEncoder()
+	for _, o := range l {
+		e.Record(1, func(e *wire.Encoder) { encodeOrigin(e, o) })
+	}
+	return e.Encoded()
+}
+
+// DecodeVersions decodes what EncodeVersions returns.
+func DecodeVersions(b []byte) ([]Origin, error) {
+	var l []Origin
+	d := wire.NewDecoder(b)
+	for f, ok := d.Next(); ok; f, ok = d.Next() {
+		if f != 1 {
+			continue
+		}
+		var o Origin
+		r := d.Record()
+		for f, ok := r.Next(); ok; f, ok = r.Next() {
+			decodeOrigin(r, f, &o)
+		}
+		d.Fail(r.Err())
+		l = append(l, o)
+	}
+	return l, errors.Wrap(d.Err(), "decoding the versions of services")
+}
+
 // Question asks a holder for the origin of a stream.
 type Question struct {
 	Key     Key
@@ -93,6 +121,8 @@
 	Known  bool // Origin is where the stream began
 	Sole   bool // Origin has the only version of the service that was listed within Memory
 	Origin Origin
+
+	Several bool // several versions were listed, whatever other VMs know
 }
 
 // EncodeAnswer encodes an Answer.
@@ -101,6 +131,7 @@
 	encodeOrigin(e, a.Origin)
 	e.Bool(3, a.Known)
 	e.Bool(4, a.Sole)
+	e.Bool(5, a.Several)
 	return e.Encoded()
 }
 
@@ -114,6 +145,8 @@
 			a.Known = d.Bool()
 		case 4:
 			a.Sole = d.Bool()
+		case 5:
+			a.Several = d.Bool()
 		default:
 			decodeOrigin(d, f, &a.Origin)
 		}
--- a/internal/coordination/origin/history.go
+++ b/internal/coordination/origin/history.go
@@ -1,6 +1,9 @@
 package origin
 
 import (
+	"cmp"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -73,3 +76,43 @@
 	_, ok := m[""]
 	return ok && len(m) == 1
 }
+
+// Several reports whether the lists named several versions of a service within Memory.
+func (h *History) Several(service string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.versions[service]) > 1
+}
+
+// Versions returns the versions of each service that were listed within Memory, sorted by service and version.
+func (h *History) Versions() []Origin {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var l []Origin
+	for s, m := range h.versions {
+		for v := range m {
+			l = append(l, Origin{Service: s, Version: v})
+		}
+	}
+	slices.SortFunc(l, func(a, b Origin) int {
+		return cmp.Or(strings.Compare(a.Service, b.Service), strings.Compare(a.Version, b.Version))
+	})
+	return l
+}
+
+// Restore lets a VM that has just started go on from the Versions of its former process. It counts as having seen all lists in between: no
+// stream began meanwhile if the entry VMs were down, too, and otherwise other VMs know better.
+func (h *History) Restore(l []Origin, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if len(l) == 0 || !h.since.IsZero() {
+		return
+	}
+	h.since, h.readAt = now.Add(-Memory), now
+	for _, o := range l {
+		if h.versions[o.Service] == nil {
+			h.versions[o.Service] = map[string]time.Time{}
+		}
+		h.versions[o.Service][o.Version] = now
+	}
+}
--- a/internal/coordination/origin/origin_test.go
+++ b/internal/coordination/origin/origin_test.go
@@ -137,3 +137,33 @@
 	require.NoError(t, err)
 	require.Equal(t, a, gotAnswer)
 }
+
+// TestHistoryGoesOnFromItsFormerProcess restores the versions of a former process: they count for Memory, as if all lists had been seen.
+func TestHistoryGoesOnFromItsFormerProcess(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, c := range []struct {
+		saved, listed []string
+		wait          time.Duration // until the first list
+		sole          string
+		ok            bool
+	}{
+		{[]string{"v1"}, []string{"v1"}, time.Second, "v1", true},
+		{[]string{"v1"}, []string{"v2"}, time.Second, "", false},
+		{[]string{"v1", "v2"}, []string{"v2"}, time.Second, "", false},
+		{nil, []string{"v1"}, time.Second, "", false},
+		{[]string{"v1"}, []string{"v1"}, time.Minute, "", false},
+	} {
+		former := origin.NewHistory()
+		former.Observe(upstreams("s", c.saved...), now)
+		l, err := origin.DecodeVersions(origin.EncodeVersions(former.Versions()))
+		require.NoError(t, err)
+		require.Equal(t, former.Versions(), l)
+		h := origin.NewHistory()
+		h.Restore(l, now)
+		at := now.Add(c.wait)
+		h.Observe(upstreams("s", c.listed...), at)
+		v, ok := h.Sole(at, "s")
+		require.Equal(t, c.ok, ok)
+		require.Equal(t, c.sole, v)
+	}
+}
