--- a/review/standin/case_list.go
+++ b/review/standin/case_list.go
@@ -14,11 +14,15 @@
 	listLag     = 800 * time.Millisecond // lagMs
 	serveLonger = 6 * time.Second        // for which a replica that leaves serves after drainMs
 	releaseGap  = time.Second
-	orderWork   = 60 * time.Millisecond
-	orderRate   = 25 // requests a second at each entry VM
+
+	oldReplicas   = 4
+	orderWork     = 60 * time.Millisecond
+	orderRate     = 25 // requests a second at each entry VM
+	beforeRelease = 3 * time.Second
+	afterRelease  = 4 * time.Second
 )
 
-// cutEntry adds an entry whose bytes can't be read to the list, and releases two of four replicas.
+// cutEntry adds an entry whose bytes can't be read to the list during releases.
 func cutEntry(ctx context.Context, f *fleet, trouble bool) error {
 	return release(ctx, f, func(*replica) []string {
 		if !trouble {
@@ -28,7 +32,7 @@
 	})
 }
 
-// oldWriter adds an entry for a replica that leaves, which says that it is ready and lacks fields.
+// oldWriter adds an entry for the first replica that leaves, which says that it is ready and lacks fields.
 func oldWriter(ctx context.Context, f *fleet, trouble bool) error {
 	return release(ctx, f, func(r *replica) []string {
 		if !trouble {
@@ -38,13 +42,13 @@
 	})
 }
 
-// release replaces two of four replicas under load, one after the other: the new one is listed first, the old one is draining. odd returns what
-// another writer leaves in the list about the first replica that leaves.
+// release replaces two of four replicas under load, one after the other, and then the other two: the new one is listed first, the old one is
+// draining. odd returns what another writer leaves in the list, as the last entry, once traffic has run for a while.
 func release(ctx context.Context, f *fleet, odd func(*replica) []string) error {
 	f.add(entryClass, 2, entryMemory)
 	f.add(controlClass, 3, controlMemory)
 	f.add(batchClass, 3, batchMemory)
-	l, err := f.appReplicas(4, orderWork)
+	l, err := f.appReplicas(oldReplicas, orderWork)
 	if err != nil {
 		return err
 	}
@@ -60,54 +64,86 @@
 		return err
 	}
 	load, stop := context.WithCancel(ctx)
-	s := &sentRequests{at: map[string]time.Time{}, got: map[int]int{}}
+	defer stop()
+	s := &sentRequests{got: map[int]int{}}
 	var g sync.WaitGroup
 	for _, v := range f.of(entryClass) {
 		g.Go(func() { f.order(load, s, v) })
 	}
-	pause(ctx, 3*time.Second)
-	entries := func(states ...string) []string {
-		var out []string
-		for i, r := range l {
-			if i < len(states) && states[i] != "" {
-				out = append(out, r.entry(states[i]))
-			}
-		}
-		return append(out, odd(l[0])...)
+	x := &releases{f: f, all: l, states: map[string]string{}, shown: map[string]time.Time{}}
+	for _, r := range l {
+		x.states[r.id] = "ready"
 	}
-	f.list.set(entries("ready", "ready", "ready", "ready")...)
-	f.note("list: %v", odd(l[0]))
-	pause(ctx, 2*time.Second)
-	shown := map[string]time.Time{}
-	for i := range 2 {
-		r, err := newReplica(f, fmt.Sprintf("i-%d", i+5), appPool, i+5, 6, orderWork)
-		if err != nil {
-			stop()
+	pause(ctx, beforeRelease)
+	x.odd = odd(l[0])
+	x.list()
+	f.note("list: another writer's entry: %v", x.odd)
+	pause(ctx, beforeRelease)
+	for i := 0; i < oldReplicas; i += 2 {
+		if err := x.replace(ctx, l[i:i+2]); err != nil {
 			return err
 		}
-		l = append(l, r)
-		states := [][]string{{"draining", "ready", "ready", "ready", "ready"}, {"draining", "draining", "ready", "ready", "ready", "ready"}}
-		f.list.set(entries(states[i]...)...)
-		shown[l[i].id] = time.Now()
-		f.note("list: %s is draining, %s is ready", l[i].id, r.id)
-		pause(ctx, releaseGap)
+		s.note(f)
 	}
-	pause(ctx, drainTime+serveLonger-releaseGap)
-	for i := range 2 {
-		l[i].end()
-		f.note("%s has ended", l[i].id)
-	}
-	f.list.set(entries("", "", "ready", "ready", "ready", "ready")...)
-	pause(ctx, 3*time.Second)
+	pause(ctx, afterRelease)
 	stop()
 	g.Wait()
 	if ctx.Err() != nil {
 		return ctx.Err()
 	}
+	s.note(f)
+	return checkDrained(f, l, x.shown)
+}
+
+// releases is the state of the list during releases.
+type releases struct {
+	f      *fleet
+	all    []*replica
+	odd    []string
+	states map[string]string // by id; "" is gone
+	shown  map[string]time.Time
+}
+
+// list publishes the states of all replicas.
+func (x *releases) list() {
+	var out []string
+	for _, r := range x.all {
+		if s := x.states[r.id]; s != "" {
+			out = append(out, r.entry(s))
+		}
+	}
+	x.f.list.set(append(out, x.odd...)...)
+}
+
+// replace replaces replicas one after the other, and ends them when they have served for a while after drainMs.
+func (x *releases) replace(ctx context.Context, old []*replica) error {
+	for _, o := range old {
+		i := len(x.all) + 1
+		r, err := newReplica(x.f, fmt.Sprintf("i-%d", i), appPool, i, 6, orderWork)
+		if err != nil {
+			return err
+		}
+		x.all = append(x.all, r)
+		x.states[r.id], x.states[o.id], x.shown[o.id] = "ready", "draining", time.Now()
+		x.list()
+		x.f.note("list: %s is draining, %s is ready", o.id, r.id)
+		pause(ctx, releaseGap)
+	}
+	pause(ctx, drainTime+serveLonger-releaseGap)
+	for _, o := range old {
+		o.end()
+		x.states[o.id] = ""
+		x.f.note("%s has ended", o.id)
+	}
+	x.list()
+	return nil
+}
+
+// note records the answers so far.
+func (s *sentRequests) note(f *fleet) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	f.note("answers by status (0: none): %v", s.got)
-	return checkDrained(f, l[:2], shown)
+	f.note("answers by status so far (0: none): %v", s.got)
 }
 
 // checkDrained counts the requests that reached replicas later than drainMs after the list showed them draining.
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -10,6 +10,8 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -60,6 +62,8 @@
 	defer r.close()
 	ctx, cancel := context.WithTimeout(context.Background(), runLimit)
 	defer cancel()
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
 	f, err := newFleet(binary, r)
 	if err != nil {
 		r.note("the case could not run: %v", err)
--- a/review/standin/platform.go
+++ b/review/standin/platform.go
@@ -52,6 +52,6 @@
 func (r *replica) entry(state string) string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return fmt.Sprintf(`{"service":%q,"addr":%q,"zone":"ch-mitte-a","version":%q,"slots":%d,"state":%q,"coldLeftMs":0,"id":%q}`,
-		r.service, r.address, r.version, r.slots, state, r.id)
+	return fmt.Sprintf(`{"service":%q,"addr":%q,"zone":"ch-mitte-a","version":%q,"slots":%d,"state":%q,"coldLeftMs":0,"id":%q,"born":%d}`,
+		r.service, r.address, r.version, r.slots, state, r.id, r.born.UnixMilli())
 }
--- a/review/standin/replica.go
+++ b/review/standin/replica.go
@@ -57,12 +57,13 @@
 	mu       sync.Mutex
 	arrivals []arrival
 	rejected int
-	version  string // of its software
+	version  string    // of its software
+	born     time.Time // start of its process
 	conns    map[net.Conn]bool
 }
 
 func newReplica(f *fleet, id, service string, i, slots int, work time.Duration) (*replica, error) {
-	r := &replica{f: f, id: id, service: service, address: f.address(8, i) + ":" + replicaPort, slots: slots, work: work, events: itemEvents, pace: eventTime, version: "v1", conns: map[net.Conn]bool{},
+	r := &replica{f: f, id: id, service: service, address: f.address(8, i) + ":" + replicaPort, slots: slots, work: work, events: itemEvents, pace: eventTime, version: "v1", born: time.Now(), conns: map[net.Conn]bool{},
 		running: make(chan struct{}, slots), places: make(chan struct{}, slots+replicaQueue)}
 	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", r.address)
 	if err != nil {
@@ -93,7 +94,7 @@
 func (r *replica) upgrade(version string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.version = version
+	r.version, r.born = version, time.Now()
 	for c := range r.conns {
 		if t, ok := c.(*net.TCPConn); ok {
 			_ = t.SetLinger(0) // closing resets the connection
