--- a/review/standin/case_batch.go
+++ b/review/standin/case_batch.go
@@ -91,10 +91,13 @@
 	}
 }
 
-// read reads a job from its start.
-func (f *fleet) read(ctx context.Context, v *vm, id string) (answer, page) {
-	a := f.call(ctx, request{method: http.MethodGet, address: v.bind + ":" + callersPort, path: "/snipetack/lots/" + id + "?after=0", host: hostName,
-		header: map[string]string{headerKey: tenantKey, headerWait: "1000"}})
+// read reads a job from its start; key may be "".
+func (f *fleet) read(ctx context.Context, v *vm, id, key string) (answer, page) {
+	h := map[string]string{headerWait: "1000"}
+	if key != "" {
+		h[headerKey] = key
+	}
+	a := f.call(ctx, request{method: http.MethodGet, address: v.bind + ":" + callersPort, path: "/snipetack/lots/" + id + "?after=0", host: hostName, header: h})
 	var p page
 	if a.status == http.StatusOK {
 		if err := json.Unmarshal([]byte(a.body), &p); err != nil {
@@ -134,8 +137,10 @@
 	for range 5 {
 		for _, v := range f.of(entryClass) {
 			for _, id := range []string{"7c41e0aa", "7c41e0bb"} {
-				a, p := f.read(ctx, v, id)
+				a, p := f.read(ctx, v, id, tenantKey)
 				f.note("caller: read of job %s at %s: %d, total %d, %d results", id, v.name, a.status, p.Total, len(p.Results))
+				keyless, _ := f.read(ctx, v, id, "")
+				f.line("caller: the same without a key: %d", keyless.status)
 				if a.status == http.StatusNotFound || a.status == http.StatusGone {
 					unknown++
 				}
@@ -222,7 +227,7 @@
 func (f *fleet) unlisted(ctx context.Context) map[string]int {
 	m := map[string]int{}
 	for i := range jobs {
-		a, p := f.read(ctx, f.of(entryClass)[i%2], jobID(i))
+		a, p := f.read(ctx, f.of(entryClass)[i%2], jobID(i), tenantKey)
 		f.line("caller: read of job %s: %d, total %d, %d results", jobID(i), a.status, p.Total, len(p.Results))
 		if p.Total == 0 || len(p.Results) < p.Total {
 			m[jobID(i)] = jobItems - len(p.Results)
