node: Evacuate a data centre on an operator's order

Operators had no way to keep requests and items away from the upstreams of a data centre but to change the list of upstreams.

The control group replicates the orders (plan.Evacuation) with a revision. They reach each VM with its bulletin, before the configuration. A VM marks the upstreams of evacuated data centres as draining on its own list, so that neither requests, further attempts, resumed streams nor items start there; what is in flight goes on. An order names the revision that it was made at, so that a late repetition does not revert a newer order. Orders are refused with a retryable 503 while a member of the control group may run an older build: the leader commits once that all members support them, and tells control VMs so.

--- a/internal/command/document/decoder.go
+++ b/internal/command/document/decoder.go
@@ -127,6 +127,29 @@
 	})
 }
 
+// TextMap reads an object whose keys are not known beforehand and whose values are strings that are not empty.
+func (d *Decoder) TextMap(to *map[string]string) Field {
+	return func(path string, v hujson.Value) {
+		o, ok := v.Value.(*hujson.Object)
+		if !ok {
+			d.fail(v.StartOffset, path, "must be an object")
+			return
+		}
+		m := make(map[string]string, len(o.Members))
+		known := map[string]Field{}
+		for _, x := range o.Members {
+			l, _ := x.Name.Value.(hujson.Literal)
+			known[l.String()] = func(path string, v hujson.Value) {
+				var text string
+				d.Text(&text)(path, v)
+				m[l.String()] = text
+			}
+		}
+		d.Object(path, v, known)
+		*to = m
+	}
+}
+
 // Number reads a number that fits a float64.
 func (d *Decoder) Number(to *float64) Field {
 	return func(path string, v hujson.Value) {
--- a/internal/command/node/control.go
+++ b/internal/command/node/control.go
@@ -44,11 +44,12 @@
 	replica   *replica.Replica
 	committed chan []byte // the newest committed configuration until it is in force here; capacity 1
 
-	syncs   atomic.Int64             // reports in progress
-	known   atomic.Pointer[[]string] // addresses of control VMs
-	knownAt time.Time                // used by maintainRoster only
-	load    *leaderLoad
-	packer  roster.Packer
+	syncs     atomic.Int64             // reports in progress
+	known     atomic.Pointer[[]string] // addresses of control VMs
+	knownAt   time.Time                // used by maintainRoster only
+	load      *leaderLoad
+	evacuates atomic.Bool // whether orders about evacuations may be committed, as this VM knows as the leader
+	packer    roster.Packer
 
 	mu      sync.Mutex
 	roster  *roster.Roster       // nil while another VM leads
@@ -97,12 +98,7 @@
 
 // groupMembers returns the addresses of the control group's members and of its leader, as far as this VM's replica knows them.
 func (c *control) groupMembers() []string {
-	var l []string
-	for _, s := range c.replica.Status() {
-		for _, m := range s.Configuration.Members() {
-			l = append(l, m.VM)
-		}
-	}
+	l := c.members()
 	if v, _ := c.replica.Leader(group.Control); v != "" {
 		l = append(l, v)
 	}
@@ -140,6 +136,9 @@
 // replaced, since only the last one matters.
 func (c *control) observe(s plan.State) {
 	c.noteLeaving(time.Now(), s.Leaving)
+	if s.EvacuationRevision > 0 {
+		c.n.member.adoptEvacuations(s.EvacuationRevision, s.Evacuations)
+	}
 	if len(s.Document) == 0 {
 		return
 	}
@@ -207,6 +206,7 @@
 		if !leads {
 			c.roster = nil
 			c.mu.Unlock()
+			c.evacuates.Store(false)
 			continue
 		}
 		if c.roster == nil {
@@ -216,7 +216,13 @@
 		c.roster.Expire(now)
 		initialMembers := c.roster.InitialMembers(now, c.n.voters())
 		quarantine, changed := c.roster.Quarantine(now, state)
+		evacuates, all := c.roster.EvacuationSupport(now, c.members(), state)
 		c.mu.Unlock()
+		c.evacuates.Store(evacuates)
+		if all && !state.EvacuationsSupported {
+			err := c.propose(ctx, plan.Command{Supported: true})
+			c.n.Log.Info("all builds of the control group support evacuations", "error", err)
+		}
 		if changed {
 			err := c.propose(ctx, quarantine)
 			c.n.Log.Warn("prompts quarantined or released", "segments", quarantine.Quarantine.Segments, "release", quarantine.Release, "error", err)
@@ -245,10 +251,10 @@
 func (c *control) newRoster(now time.Time) *roster.Roster {
 	c.n.Log.Info("became leader of the control group")
 	m := c.n.member
-	l, read := m.Upstreams()
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	r := roster.New(now, m.vms, m.entriesLocked(), l, read)
+	l := m.departures.Apply(now, m.upstreams) // without the marks of evacuations, which each VM sets
+	r := roster.New(now, m.vms, m.entriesLocked(), l, m.listRead)
 	r.InheritBatchLeader(now, m.batchLeader)
 	return r
 }
@@ -305,10 +311,13 @@
 		return nil, err
 	}
 	s := c.machine.State()
+	revision, evacuations := c.n.member.evacuations.Known() // those of s or, on a VM outside the group, of a bulletin
 	x, ok := c.lead(r, s)
 	if !ok {
 		x = c.follow(r, s)
 	}
+	x.Evacuates = ok && r.VM.Class == roster.Control && c.evacuates.Load()
+	x.SetEvacuations(r, revision, evacuations)
 	if err := c.packer.Pack(r, &x); err != nil {
 		c.n.Log.Error("configuration sent uncompressed", "error", err)
 	}
@@ -401,31 +410,31 @@
 
 // propose commits a command; after an error it may still be committed. A VM outside the group does so through the leader.
 func (c *control) propose(ctx context.Context, m plan.Command) error {
+	_, err := c.commit(ctx, m)
+	return err
+}
+
+// commit is propose with the result of the command.
+func (c *control) commit(ctx context.Context, m plan.Command) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
 	b := plan.EncodeCommand(m)
+	var r []byte
 	var err error
 	if c.inGroup() {
-		_, err = c.replica.Propose(ctx, group.Control, b)
+		r, err = c.replica.Propose(ctx, group.Control, b)
 	} else {
-		_, err = c.callLeader(ctx, link.Propose, b)
+		r, err = c.callLeader(ctx, link.Propose, b)
 	}
 	if err != nil {
 		c.n.Log.Warn("control command not confirmed", "error", err)
 	}
-	return err
+	return r, err
 }
 
 // inGroup reports whether this VM is a member of the control group.
 func (c *control) inGroup() bool {
-	for _, s := range c.replica.Status() {
-		for _, m := range s.Configuration.Members() {
-			if m.VM == c.n.link.Self() {
-				return true
-			}
-		}
-	}
-	return false
+	return slices.Contains(c.members(), c.n.link.Self())
 }
 
 // callLeader calls the leading control VM.
--- a/internal/command/node/measure.go
+++ b/internal/command/node/measure.go
@@ -32,7 +32,14 @@
 			return f()
 		}
 	}
+	if err := m.n.Telemetry.GaugeBy("evacuated", "1 for each data centre whose evacuation is in force here, 0 after its end.", "1", "zone", m.evacuated); err != nil {
+		return err
+	}
 	return m.n.registerGauges([]gauge{
+		{"evacuation_revision", "Revision of the evacuations in force here.", func() float64 {
+			r, _ := m.evacuations.Known()
+			return float64(r)
+		}},
 		{"configuration_version", "Version of the configuration in force here.", locked(func() float64 {
 			if m.plan == nil {
 				return 0
--- a/internal/command/node/member.go
+++ b/internal/command/node/member.go
@@ -16,6 +16,7 @@
 	"github.com/pkg/errors"
 
 	"snipetack/internal/coordination/departure"
+	"snipetack/internal/coordination/evacuation"
 	"snipetack/internal/coordination/origin"
 	"snipetack/internal/coordination/pause"
 	"snipetack/internal/coordination/quarantine"
@@ -69,6 +70,7 @@
 	restarts         *restart.Table
 	history          *origin.History // of the versions of services
 	departures       *departure.Table
+	evacuations      *evacuation.Table
 	limits           *throttle.Table                 // of upstreams
 	onLimits         func(limits map[string]float64) // called with all limits of upstreams when one has changed; may be nil
 	wake             chan struct{}                   // capacity 1; requests a report before the interval is over
@@ -91,7 +93,7 @@
 	vmsTag         uint64               // of vms; 0 before the first directory
 	batchListed    map[string]time.Time // until when a batch VM was in vms that is not any more, by address
 	upstreams      []roster.Upstream    // as listed
-	usable         []roster.Upstream    // upstreams, of which those that announced that they leave are draining
+	usable         []roster.Upstream    // upstreams, of which those that announced that they leave or are evacuated are draining
 	listTag        uint64               // of upstreams; 0 before the first list
 	listRead       time.Time            // when upstreams was read, by this VM's clock
 	initialMembers []string
@@ -106,11 +108,12 @@
 	failedAt       map[string]time.Time // last failed call, by link address
 	staleUntil     map[string]time.Time // until when a control VM is not asked that has lost contact to the leader, by link address
 	available      uint64               // version of the configuration that a control VM offered last
+	evacuates      bool                 // whether orders about evacuations may be committed, as the leader said last; on control VMs
 }
 
 func newMember(n *Node, vm roster.VM) *member {
 	m := &member{n: n, vm: vm, incarnation: time.Now().UnixNano(), failedAt: map[string]time.Time{}, staleUntil: map[string]time.Time{}, quarantines: quarantine.NewList(), history: origin.NewHistory(), batchListed: map[string]time.Time{},
-		departures: departure.NewTable(), wake: make(chan struct{}, 1)}
+		departures: departure.NewTable(), evacuations: evacuation.NewTable(), wake: make(chan struct{}, 1)}
 	m.limits = throttle.NewTable(func(l map[string]float64) {
 		if m.onLimits != nil {
 			m.onLimits(l)
@@ -629,7 +632,7 @@
 // newReport returns a report of what this VM has, so that the response contains only what it lacks. With shares it requests new
 // shares when these are due.
 func (m *member) newReport(shares bool) roster.Report {
-	r := roster.Report{VM: m.vm, Incarnation: m.incarnation, Unpacks: true, PatchesLists: true}
+	r := roster.Report{VM: m.vm, Incarnation: m.incarnation, Unpacks: true, PatchesLists: true, Evacuates: true}
 	m.sharesRequested = false
 	m.mu.RLock()
 	r.DirectoryTag, r.ListTag = m.vmsTag, m.listTag
@@ -646,6 +649,7 @@
 	if m.report != nil {
 		m.report(&r)
 	}
+	r.EvacuationRevision, _ = m.evacuations.Known()
 	r.QuarantineRevision, r.Matched = m.quarantines.Revision(), m.quarantines.TakeMatched()
 	r.Crashes, m.sentCrash = m.crashes.Reports(m.reportedCrash)
 	r.Cleared = m.crashes.Clearances()
@@ -656,6 +660,7 @@
 // adopt applies a bulletin from a control VM.
 func (m *member) adopt(from string, b roster.Bulletin) {
 	now := time.Now()
+	m.adoptEvacuations(b.EvacuationRevision, b.Evacuations) // before the configuration and the list, with which an entry VM is ready
 	if len(b.Document) > 0 {
 		m.adoptDocument(b.Document)
 	}
@@ -664,6 +669,9 @@
 	m.mu.Lock()
 	m.adoptLeader(now, from, b, current)
 	m.available = b.Version
+	if b.Leads {
+		m.evacuates = b.Evacuates
+	}
 	if b.Fleet > 0 {
 		m.fleet, m.entries = b.Fleet, b.Entries
 	}
@@ -877,7 +885,7 @@
 	m.publishing.Lock()
 	defer m.publishing.Unlock()
 	m.mu.Lock()
-	l := m.departures.Apply(time.Now(), m.upstreams)
+	l := m.evacuations.Apply(m.departures.Apply(time.Now(), m.upstreams))
 	m.usable = l
 	m.mu.Unlock()
 	if m.onList != nil {
--- a/internal/command/node/node.go
+++ b/internal/command/node/node.go
@@ -45,6 +45,10 @@
 	Retire(ctx context.Context, vm string) error
 	// Retired reports whether a batch VM has left its group, so that it can be stopped.
 	Retired(ctx context.Context, vm string) (bool, error)
+	// Evacuate lets no VM start anything at the upstreams of a data centre. After an error the order may still be committed.
+	Evacuate(ctx context.Context, zone string) error
+	// EndEvacuation revokes Evacuate.
+	EndEvacuation(ctx context.Context, zone string) error
 }
 
 // Adapters translate between a Node and the formats and calls of callers, operators and upstreams.
--- a/internal/command/node/settings.go
+++ b/internal/command/node/settings.go
@@ -36,6 +36,8 @@
 	StaleAfter time.Duration // a configuration that the leading control VM has not confirmed for longer is not used; 0 is no limit
 	QuotaSlack float64       // requests by which the fleet may exceed an account's burst
 	Retention  time.Duration // of finished jobs
+
+	Zones map[string]string // region of each data centre; nil if the settings don't name them
 }
 
 // Load reads and checks a settings file.
@@ -92,6 +94,7 @@
 		"stale_after_s": d.Number(&stale),
 		"quota_slack":   d.Number(&s.QuotaSlack),
 		"retention_s":   d.Number(&retention),
+		"zones":         d.TextMap(&s.Zones),
 	}, "vm", "class", "ip", "first_port", "seeds")
 	s.Losses, s.Cores, s.MemoryMB, s.MaxFiles = int(losses), max(1, int(cores)), int(memory), int(files)
 	s.Grace, s.StaleAfter, s.Retention = seconds(grace), seconds(stale), seconds(retention)
--- a/internal/command/node/settings_test.go
+++ b/internal/command/node/settings_test.go
@@ -13,6 +13,7 @@
 const file = `{
   // a comment
   "vm": "core-a-1", "class": "control", "zone": "a", "ip": "10.0.0.1", "first_port": 7660,
+  "zones": { "a": "north", "b": "north", "c": "south" },
   "seeds": ["10.0.0.1:8407"], "bootstrap": true, "data": "/data/x", "callers": "", "ready": "", "operators": "10.0.0.1:8407",
   "metrics": "10.0.0.1:9464", "list": { "address": "10.9.0.1:80", "rate_per_s": 40.0 }, "losses": 1, "cores": 1,
   "memory_mb": 280, "max_files": 4096, "grace_s": 8, "stale_after_s": 0, "quota_slack": 20, "retention_s": 120
@@ -24,7 +25,7 @@
 	require.Equal(t, node.Settings{VM: "core-a-1", Class: "control", Zone: "a", IP: "10.0.0.1", FirstPort: 7660,
 		Seeds: []string{"10.0.0.1:8407"}, Bootstrap: true, Data: "/data/x", Operators: "10.0.0.1:8407", Metrics: "10.0.0.1:9464",
 		List: "10.9.0.1:80", ListRate: 40, Losses: 1, Cores: 1, MemoryMB: 280, MaxFiles: 4096, Grace: 8 * time.Second, QuotaSlack: 20,
-		Retention: 2 * time.Minute}, s)
+		Retention: 2 * time.Minute, Zones: map[string]string{"a": "north", "b": "north", "c": "south"}}, s)
 }
 
 func TestDecodeErrorsNameFileAndKey(t *testing.T) {
@@ -33,6 +34,8 @@
 		"wrong type":  {`"losses": 1`, `"losses": "one"`, "losses"},
 		"wrong class": {`"control"`, `"core"`, "class"},
 		"missing key": {`"ip": "10.0.0.1", `, ``, "ip"},
+		"no region":   {`"b": "north"`, `"b": ""`, "zones.b"},
+		"two regions": {`"b": "north"`, `"a": "south"`, "given twice"},
 		"syntax":      {`"cores": 1,`, `"cores": 1`, ":"},
 	}
 	for name, c := range table {
--- a/internal/coordination/dispatch/pool.go
+++ b/internal/coordination/dispatch/pool.go
@@ -160,7 +160,7 @@
 	for s, l := range p.waiters {
 		none := !p.hasUpstream(s)
 		p.waiters[s] = slices.DeleteFunc(l, func(w *waiter) bool {
-			lost := none || w.Pinned && !p.hasVersion(s, w.Version, "")
+			lost := none || w.Pinned && !p.hasVersion(s, w.Version, "") || p.evacuated(w.Only)
 			if lost {
 				close(w.assigned)
 			}
@@ -330,6 +330,12 @@
 	return slices.ContainsFunc(p.services[service], func(u *upstream) bool { return !u.Draining })
 }
 
+// evacuated reports whether the only acceptable upstream of a request, if there is just one, is in an evacuated data centre.
+func (p *Pool) evacuated(only string) bool {
+	u := p.byID[only]
+	return u != nil && u.Evacuated
+}
+
 // HasRoom reports whether an upstream that is acceptable to a request, other than one, has a slot that neither a request nor a batch item
 // occupies.
 func (p *Pool) HasRoom(now time.Time, r Request, other string) bool {
@@ -348,7 +354,7 @@
 func (p *Pool) Take(now time.Time, r Request) (Choice, <-chan Choice, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !p.hasUpstream(r.Service) || r.Pinned && !p.hasVersion(r.Service, r.Version, "") {
+	if !p.hasUpstream(r.Service) || r.Pinned && !p.hasVersion(r.Service, r.Version, "") || p.evacuated(r.Only) {
 		return Choice{}, nil, false
 	}
 	if !p.hasWaiterBefore(r) || r.Prefer != "" {
--- a/internal/coordination/roster/codec.go
+++ b/internal/coordination/roster/codec.go
@@ -35,6 +35,8 @@
 	e.Float(16, r.Even)
 	e.Bool(17, r.Unpacks)
 	e.Bool(18, r.PatchesLists)
+	e.Uint(25, r.EvacuationRevision)
+	e.Bool(26, r.Evacuates)
 	return e.Encoded()
 }
 
@@ -80,6 +82,10 @@
 			r.Unpacks = d.Bool()
 		case 18:
 			r.PatchesLists = d.Bool()
+		case 25:
+			r.EvacuationRevision = d.Uint()
+		case 26:
+			r.Evacuates = d.Bool()
 		}
 	}
 	return r, d.Err()
@@ -120,6 +126,9 @@
 	e.Bytes(26, b.Packed)
 	e.Uint(27, b.ListBase)
 	e.Texts(28, b.Removed)
+	e.Uint(35, b.EvacuationRevision)
+	plan.EncodeEvacuations(e, 36, b.Evacuations)
+	e.Bool(37, b.Evacuates)
 	return e.Encoded()
 }
 
@@ -175,6 +184,12 @@
 			b.Age = d.Duration()
 		case 26:
 			b.Packed = d.Bytes()
+		case 35:
+			b.EvacuationRevision = d.Uint()
+		case 36:
+			b.Evacuations = append(b.Evacuations, plan.DecodeEvacuation(d))
+		case 37:
+			b.Evacuates = d.Bool()
 		default:
 			decodeList(&b, f, d)
 		}
--- a/internal/coordination/roster/roster.go
+++ b/internal/coordination/roster/roster.go
@@ -62,6 +62,8 @@
 type vmRecord struct {
 	vm         VM
 	reportedAt time.Time
+	known      bool // it has reported to this leader
+	evacuates  bool // its build supports evacuations
 }
 
 // New returns a Roster that starts from the directory of VMs and the list of upstreams that a previous leader sent; read is
@@ -205,9 +207,8 @@
 		if p.VM.Class != Entry || !r.entriesOmitted {
 			r.rebuildDirectory()
 		}
-		return
 	}
-	k.reportedAt = now
+	k.reportedAt, k.known, k.evacuates = now, true, p.Evacuates
 }
 
 // countVM adds an entry VM to their number, or removes it.
--- a/internal/coordination/roster/types.go
+++ b/internal/coordination/roster/types.go
@@ -45,6 +45,8 @@
 	Matched               []string           // keys of the quarantines that held prompts back lately
 	Cleared               []quarantine.Clearance
 	Limits                []throttle.Limit // that upstreams named here lately
+	EvacuationRevision    uint64           // of the evacuations in force on the VM
+	Evacuates             bool             // the VM's build supports evacuations
 }
 
 // Bulletin is a control VM's response to a Report; parts that the reporter has already are left out.
@@ -78,4 +80,7 @@
 	Quarantines        []plan.Quarantine
 	Limits             []throttle.Limit // that upstreams named, also those that ended lately
 	Suspects           []string         // prompt segments that may crash upstreams; the VMs report sound responses to them
+	EvacuationRevision uint64           // of Evacuations; 0 where the reporter has them
+	Evacuations        []plan.Evacuation
+	Evacuates          bool // the leader knows that the builds of the control group support evacuations; for control VMs
 }
--- a/internal/coordination/roster/upstream.go
+++ b/internal/coordination/roster/upstream.go
@@ -27,6 +27,8 @@
 	Draining bool          // takes no new requests
 	Cold     time.Duration // remaining warm-up time
 	Born     int64         // start of its process in Unix ms, which tells incarnations under one id apart; 0 when the list does not tell
+
+	Evacuated bool // its data centre is evacuated, so that it is Draining, too; each VM sets it, it is never sent
 }
 
 // Check returns an error for an upstream that can't exist: one without id or service, to which no connection can be made, or with numbers or
--- a/internal/state/plan/machine.go
+++ b/internal/state/plan/machine.go
@@ -26,6 +26,10 @@
 
 	QuarantineRevision uint64 // grows with each change of Quarantines
 	Quarantines        []Quarantine
+
+	EvacuationRevision   uint64 // grows with each change of Evacuations
+	Evacuations          []Evacuation
+	EvacuationsSupported bool // all members of the group ran a build that replicates evacuations
 }
 
 // Quarantine holds back prompts or one request that crash upstreams.
@@ -62,7 +66,8 @@
 // maxQuarantines bounds the quarantines of a State; a further one replaces the oldest.
 const maxQuarantines = 64
 
-// Command is one change of a State: a configuration with its version, the initial members, a VM to drain, or a quarantine.
+// Command is one change of a State: a configuration with its version, the initial members, a VM to drain, a quarantine, or an order
+// about an evacuation.
 type Command struct {
 	Version        uint64
 	Document       []byte
@@ -70,6 +75,8 @@
 	Leave          string // name of the VM to drain
 	Quarantine     Quarantine
 	Release        bool // removes the Quarantine instead of adding it
+	Evacuation     EvacuationOrder
+	Supported      bool // sets State.EvacuationsSupported
 }
 
 // NewControl returns a Control with an empty state. Apply and Restore, which must be called one at a time, call observe with the new
@@ -86,18 +93,20 @@
 }
 
 // Apply executes an encoded Command. A configuration whose version is not higher than the current one changes nothing,
-// and neither do initial members once they are set. The result is empty, or says why the command can't be decoded.
+// and neither do initial members once they are set. The result is empty, or says why the command can't be decoded or
+// that its order was superseded.
 func (c *Control) Apply(_ uint64, command []byte) []byte {
 	m, err := DecodeCommand(command)
 	if err != nil {
 		return []byte(err.Error())
 	}
-	c.observer(c.change(m))
-	return nil
+	s, result := c.change(m)
+	c.observer(s)
+	return result
 }
 
-// change executes a command and returns the new state.
-func (c *Control) change(m Command) State {
+// change executes a command and returns the new state and the result.
+func (c *Control) change(m Command) (State, []byte) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
@@ -113,8 +122,14 @@
 		c.state.quarantine(m.Quarantine, m.Release)
 	case m.Version > c.state.Version:
 		c.state.Version, c.state.Document = m.Version, m.Document
+	case m.Evacuation.Zone != "":
+		if !c.state.evacuate(m.Evacuation) {
+			return c.state, []byte(superseded)
+		}
+	case m.Supported:
+		c.state.EvacuationsSupported = true
 	}
-	return c.state
+	return c.state, nil
 }
 
 // quarantine adds or removes a quarantine; one that is there already, or not there, changes nothing.
@@ -146,6 +161,9 @@
 	e.Texts(4, s.Leaving)
 	e.Uint(5, s.QuarantineRevision)
 	EncodeQuarantines(e, 6, s.Quarantines)
+	e.Uint(7, s.EvacuationRevision)
+	EncodeEvacuations(e, 8, s.Evacuations)
+	e.Bool(9, s.EvacuationsSupported)
 	return e.Encoded()
 }
 
@@ -187,6 +205,12 @@
 			s.QuarantineRevision = d.Uint()
 		case 6:
 			s.Quarantines = append(s.Quarantines, DecodeQuarantine(d))
+		case 7:
+			s.EvacuationRevision = d.Uint()
+		case 8:
+			s.Evacuations = append(s.Evacuations, DecodeEvacuation(d))
+		case 9:
+			s.EvacuationsSupported = d.Bool()
 		}
 	}
 	if err := d.Err(); err != nil {
@@ -208,6 +232,8 @@
 	e.Text(4, m.Leave)
 	e.Texts(5, m.Quarantine.Segments)
 	e.Bool(6, m.Release)
+	encodeOrder(e, 7, m.Evacuation)
+	e.Bool(8, m.Supported)
 	return e.Encoded()
 }
 
@@ -229,6 +255,10 @@
 			m.Quarantine.Segments = append(m.Quarantine.Segments, d.Text())
 		case 6:
 			m.Release = d.Bool()
+		case 7:
+			m.Evacuation = decodeOrder(d)
+		case 8:
+			m.Supported = d.Bool()
 		}
 	}
 	return m, errors.Wrap(d.Err(), "decoding a control command")
--- a/internal/state/result/code.go
+++ b/internal/state/result/code.go
@@ -63,6 +63,9 @@
 	ChangeUncommitted Code = 6003
 	VMUnknown         Code = 6004
 	TooFewVMs         Code = 6005
+	ZoneUnknown       Code = 6006
+	NotEvacuated      Code = 6007
+	BuildTooOld       Code = 6008
 
 	NotReady Code = 7001
 	Draining Code = 7002
@@ -119,6 +122,9 @@
 		ChangeUncommitted:  {"change_uncommitted", 504, "The change may or may not be committed; resend it with the same change id."},
 		VMUnknown:          {"vm_unknown", 404, "The fleet has no such VM."},
 		TooFewVMs:          {"too_few_vms", 409, "Too few VMs of the class would be left."},
+		ZoneUnknown:        {"zone_unknown", 404, "Neither the settings nor the list of upstreams names the data centre."},
+		NotEvacuated:       {"not_evacuated", 409, "The data centre was never evacuated."},
+		BuildTooOld:        {"build_too_old", 503, "A VM runs a build that does not support the order."},
 		NotReady:           {"not_ready", 503, "The VM holds no fresh copy of the configuration."},
 		Draining:           {"draining", 503, "The VM is stopping and takes no new requests."},
 		NoQuorum:           {"no_quorum", 503, "The keepers have no leader with a quorum."},
--- a/internal/transport/batchrun/runner.go
+++ b/internal/transport/batchrun/runner.go
@@ -536,7 +536,7 @@
 	})
 	address, version := "", ""
 	for _, u := range r.d.List() {
-		if u.ID == s.Upstream {
+		if u.ID == s.Upstream && !u.Evacuated { // which may be newer than the plan of this pass
 			address, version = u.Address, r.versionOf(u)
 		}
 	}
--- a/internal/transport/telemetry/telemetry.go
+++ b/internal/transport/telemetry/telemetry.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.opentelemetry.io/otel/attribute"
 	exporter "go.opentelemetry.io/otel/exporters/prometheus"
 	"go.opentelemetry.io/otel/metric"
 	sdk "go.opentelemetry.io/otel/sdk/metric"
@@ -51,6 +52,18 @@
 	return errors.Wrapf(err, "creating gauge %s", name)
 }
 
+// GaugeBy is Gauge for values that differ by an attribute, such as a data centre.
+func (t *Telemetry) GaugeBy(name, description, unit, by string, values func() map[string]float64) error {
+	_, err := t.Meter().Float64ObservableGauge(name, metric.WithDescription(description), metric.WithUnit(unit),
+		metric.WithFloat64Callback(func(_ context.Context, o metric.Float64Observer) error {
+			for k, v := range values() {
+				o.Observe(v, metric.WithAttributes(attribute.String(by, k)))
+			}
+			return nil
+		}))
+	return errors.Wrapf(err, "creating gauge %s", name)
+}
+
 // Close ends the collection of metrics.
 func (t *Telemetry) Close() {
 	_ = t.provider.Shutdown(context.Background())
