dispatch: Divide slots among client accounts by their shares

Requests of one priority were ordered by latest start alone, so an account with nine times the requests got nine times the slots. Package fairness keeps what each account got lately here and, as reported, at other VMs, and orders the queue by start tag with the accounts' rate limits as weights. Forecast, refusal and the full queue go by that order. An entry VM with few slots of its own gave its callers none whatever the order, so a request of an account within its share may take one slot beyond an upstream's, and the others leave one free.

--- a/internal/coordination/dispatch/pool.go
+++ b/internal/coordination/dispatch/pool.go
@@ -10,6 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"snipetack/internal/coordination/fairness"
 	"snipetack/internal/coordination/roster"
 )
 
@@ -50,6 +51,11 @@
 	Latest   time.Time     // after which a start is of no use to the caller; the earliest goes first within a priority, then in order of arrival
 	MaxWait  time.Duration // the request is not queued when it is expected to wait for longer
 	Ticket   uint64        // of the Choice that the request had to give back, which keeps its place in the queue; 0 for a new request
+	Account  string        // client account whose share it uses; may be ""
+	Size     time.Duration // for which it is expected to take a slot; 0 is unknown
+
+	overdraft int     // slots that it may take beyond those of an upstream
+	headroom  float64 // part of the upstreams at which it leaves a slot free
 }
 
 // Choice is an upstream with a slot taken for the request; Pool.End releases the slot.
@@ -60,10 +66,13 @@
 	Doubtful bool   // the upstream may have started again with another version
 	Load     int    // requests and batch items in flight there from all VMs, including this request
 	Slots    int
-	Limited  bool   // the upstream names a limit: it gets no other request from here until Admitted or Limited
-	Ticket   uint64 // place in the queue
+	Limited  bool    // the upstream names a limit: it gets no other request from here until Admitted or Limited
+	Ticket   uint64  // place in the queue
+	Standing float64 // what the account had got in relation to its share; 0 without fairness
 
-	takenAt time.Time // when the slot was assigned
+	service, account string        // to which the slot is charged; "" without fairness
+	charged          time.Duration // so far
+	takenAt          time.Time     // when the slot was assigned
 }
 
 // Load counts what is in flight at an upstream from VMs other than this one.
@@ -91,6 +100,7 @@
 type waiter struct {
 	Request
 	seq      uint64
+	tag      float64     // start tag among the requests of all accounts; 0 without fairness
 	assigned chan Choice // buffered, so that an assignment never blocks
 }
 
@@ -108,6 +118,7 @@
 	waiters   map[string][]*waiter     // by service, in the order of before
 	wakes     map[string]time.Time     // when serveWaiters is called next, by service
 	lastSeq   uint64
+	urgencies map[string]urgency // by service; empty without fairness
 }
 
 // Deps are the collaborators of a Pool.
@@ -116,6 +127,8 @@
 	Connected    func(address string) bool // reports whether an idle connection is open
 	Doubtful     func(id string) bool      // reports whether an upstream may have started again with another version; may be nil
 	OnPreemption func(Choice)              // called when a request takes a slot that a batch item has to release; must not block
+	Fairness     *fairness.Shares          // orders the requests of one priority by what their accounts have got; nil orders them by latest start alone
+	OnShed       func(reason string)       // called when the fair queue refuses or closes a request; must not block; may be nil
 }
 
 // New returns an empty Pool.
@@ -131,6 +144,7 @@
 		slotRates: map[string]slotRate{},
 		slotTimes: map[string]time.Duration{},
 		wakes:     map[string]time.Time{},
+		urgencies: map[string]urgency{},
 	}
 }
 
@@ -232,6 +246,7 @@
 	wait = max(wait, minLimitWait)
 	u.asking, u.limitedUntil = false, now.Add(wait)
 	p.slotRates[u.Service] = p.slotRates[u.Service].uncount()
+	p.settle(now, c, false)
 	p.end(now, c.ID)
 	p.scheduleWake(now, u.Service)
 }
@@ -351,9 +366,10 @@
 	if !p.hasUpstream(r.Service) || r.Pinned && !p.hasVersion(r.Service, r.Version, "") {
 		return Choice{}, nil, false
 	}
+	p.noteUrgency(now, r)
 	if !p.hasWaiterBefore(r) || r.Prefer != "" {
-		if u := p.pick(now, r); u != nil {
-			return p.assign(now, u, r.Ticket), nil, true
+		if u := p.pickFairly(now, r); u != nil {
+			return p.assign(now, u, r, r.Ticket), nil, true
 		}
 	}
 	seq := r.Ticket
@@ -361,8 +377,11 @@
 		p.lastSeq++
 		seq = p.lastSeq
 	}
-	l := p.waiters[r.Service]
 	w := &waiter{Request: r, seq: seq, assigned: make(chan Choice, 1)}
+	if p.d.Fairness != nil {
+		return Choice{}, p.enqueueFairly(now, w), false
+	}
+	l := p.waiters[r.Service]
 	i, _ := slices.BinarySearchFunc(l, w, before)
 	if i >= waitersMax || p.forecast(now, r.Service, i) > r.MaxWait {
 		return Choice{}, nil, false
@@ -426,6 +445,7 @@
 		if u := p.byID[c.ID]; u != nil && c.Limited {
 			u.asking = false
 		}
+		p.settle(now, c, false)
 		p.end(now, c.ID)
 	default:
 	}
@@ -435,6 +455,7 @@
 func (p *Pool) End(now time.Time, c Choice) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.settle(now, c, true)
 	if u := p.byID[c.ID]; u != nil {
 		t, ok := p.slotTimes[u.Service]
 		d := now.Sub(c.takenAt)
@@ -517,8 +538,8 @@
 	p.serveWaiters(now, u.Service)
 }
 
-// assign takes a slot at an upstream; ticket is the request's place in the queue, or 0.
-func (p *Pool) assign(now time.Time, u *upstream, ticket uint64) Choice {
+// assign takes a slot at an upstream for a request; ticket is its place in the queue, or 0.
+func (p *Pool) assign(now time.Time, u *upstream, r Request, ticket uint64) Choice {
 	u.own++
 	u.asking = u.limit > 0
 	p.slotRates[u.Service] = p.slotRates[u.Service].count(now)
@@ -530,6 +551,7 @@
 	if c.Slots > 0 && c.Load > c.Slots && p.others(now, u).Batch > 0 {
 		p.d.OnPreemption(c)
 	}
+	p.charge(now, r, &c)
 	return c
 }
 
@@ -550,18 +572,18 @@
 // serveWaiters assigns free slots of a service to its queued requests, the most urgent first. One that only some upstreams may take, all of them
 // full, does not hold up the others.
 func (p *Pool) serveWaiters(now time.Time, service string) {
-	l := p.waiters[service]
+	l := p.arrange(now, service, p.waiters[service])
 	var kept []*waiter
 	full := map[string]bool{} // versions without a free slot
 	for len(l) > 0 {
 		w := l[0]
 		var u *upstream
 		if !w.Pinned || !full[w.Version] {
-			u = p.pick(now, w.Request)
+			u = p.pickFairly(now, w.Request)
 		}
 		switch {
 		case u != nil:
-			w.assigned <- p.assign(now, u, w.seq)
+			w.assigned <- p.assign(now, u, w.Request, w.seq)
 		case w.takesAny():
 			p.waiters[service] = append(kept, l...)
 			return
@@ -636,7 +658,7 @@
 	if u.failures > 0 && u.own > 0 {
 		return false // a single request probes an upstream that has failed
 	}
-	return u.Slots <= 0 || u.own+p.others(now, u).Online < u.Slots
+	return u.Slots <= 0 || u.own+p.others(now, u).Online < r.slotsFor(u)
 }
 
 // doubtful reports whether the version of an upstream is not known now. Without versions all upstreams of a service are alike.
--- a/internal/coordination/dispatch/runtimes.go
+++ b/internal/coordination/dispatch/runtimes.go
@@ -44,6 +44,13 @@
 	r.routes[route] = t
 }
 
+// Mean returns the average run time of the requests of a route, or 0 if none has been served.
+func (r *RunTimes) Mean(route string) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.routes[route].mean
+}
+
 // Allowance returns the time in which nearly all requests of a route run: the mean plus two mean deviations. It is 0 for a route
 // of which none has been served.
 func (r *RunTimes) Allowance(route string) time.Duration {
