node, batchrun, relay: Share what accounts got over the fleet, where contention is on

The setting contention (off by default), or the platform's contract pressure, gives the pool of an entry VM its shares. Entry VMs add what accounts got to link.Load, collectors and the leading batch VM add the sums to link.Loads, only for VMs that report use, as older decoders read a trailer as loads.

--- a/internal/command/cli/node.go
+++ b/internal/command/cli/node.go
@@ -33,6 +33,7 @@
 	if err != nil {
 		return invalid{err}
 	}
+	s.Contention = s.Contention || platform.HandlesContention(s.Contracts)
 	node.LimitRuntime(s)
 	w := telemetry.NewLogRing(e.out)
 	defer w.Close()
--- a/internal/command/node/batch.go
+++ b/internal/command/node/batch.go
@@ -128,6 +128,9 @@
 	if l, ok := batchrun.DecodeLoads(x, ids); ok {
 		b.hub.SetBase(time.Now(), l)
 	}
+	if u := batchrun.DecodeUse(x); u != nil {
+		b.hub.SetBaseUse(time.Now(), u)
+	}
 }
 
 // forwardLoads reports the requests in flight of the entry VMs here to the leading batch VM when they change.
@@ -155,7 +158,7 @@
 		if vm == "" {
 			continue
 		}
-		b.n.link.Send(vm, link.Load, batchrun.EncodeCounts(batchrun.Counts{Requests: online, Urgent: urgent, Hashed: true}))
+		b.n.link.Send(vm, link.Load, batchrun.EncodeCounts(batchrun.Counts{Requests: online, Urgent: urgent, Hashed: true, Use: b.hub.SumOfUse(time.Now())}))
 		if urgent {
 			pause.For(ctx, urgentForward)
 		} else {
@@ -277,12 +280,17 @@
 		var items map[string]int
 		if leads {
 			items = b.runner.InFlight()
+			b.hub.SetBaseUse(time.Time{}, nil)
 			b.hub.SetBase(time.Time{}, nil) // all VMs report here, directly or through a collector
 		}
 		ids, tag := b.n.member.upstreamIDs()
 		for vm, l := range b.hub.Due(time.Now(), items) {
 			if b.hub.Hashed(vm) {
-				b.n.link.Send(vm, link.Loads, batchrun.EncodeLoads(l))
+				m := batchrun.EncodeLoads(l)
+				if u := b.hub.OthersUse(time.Now(), vm); u != nil {
+					m = batchrun.AppendUse(m, u)
+				}
+				b.n.link.Send(vm, link.Loads, m)
 			} else {
 				b.n.link.Send(vm, link.Hint, batchrun.EncodeHint(tag, ids, l))
 			}
--- a/internal/command/node/entry.go
+++ b/internal/command/node/entry.go
@@ -13,9 +13,11 @@
 	"golang.org/x/sync/errgroup"
 
 	"snipetack/internal/coordination/dispatch"
+	"snipetack/internal/coordination/fairness"
 	"snipetack/internal/coordination/pause"
 	"snipetack/internal/coordination/roster"
 	"snipetack/internal/coordination/share"
+	"snipetack/internal/state/plan"
 	"snipetack/internal/transport/batchrun"
 	"snipetack/internal/transport/httpserver"
 	"snipetack/internal/transport/jobs"
@@ -46,8 +48,12 @@
 	stopping  atomic.Bool
 	preempted chan struct{} // signals that a request has taken a slot from a batch item; capacity 1
 	collector collector
-	server    *http.Server
-	drainer   *drainer // of server
+	shares    *fairness.Shares // nil while contention handling is off
+
+	sharesPlan *plan.Plan // whose accounts shares has; only used by reportLoads
+
+	server  *http.Server
+	drainer *drainer // of server
 
 	requests    context.Context // of all callers' requests
 	endRequests context.CancelFunc
@@ -57,12 +63,16 @@
 	e := &entry{n: n, preempted: make(chan struct{}, 1)}
 	e.requests, e.endRequests = context.WithCancel(context.Background())
 	m := n.member
-	e.pool = dispatch.New(dispatch.Deps{Zone: n.Settings.Zone, Connected: n.conns.Idle, Doubtful: m.restarts.Doubtful, OnPreemption: func(dispatch.Choice) {
+	deps := dispatch.Deps{Zone: n.Settings.Zone, Connected: n.conns.Idle, Doubtful: m.restarts.Doubtful, OnPreemption: func(dispatch.Choice) {
 		select {
 		case e.preempted <- struct{}{}:
 		default:
 		}
-	}})
+	}}
+	if err := e.startContention(&deps); err != nil {
+		return nil, err
+	}
+	e.pool = dispatch.New(deps)
 	m.buckets = share.NewBuckets(slackFraction * n.Settings.QuotaSlack)
 	m.onList = func(l []roster.Upstream) { e.pool.SetUpstreams(time.Now(), l) }
 	m.onLimits = func(l map[string]float64) { e.pool.SetLimits(time.Now(), l) }
@@ -134,6 +144,7 @@
 func (e *entry) loads(from string, b []byte) {
 	ids, _ := e.n.member.upstreamIDs()
 	if l, ok := batchrun.DecodeLoads(b, ids); ok && e.collector.heard(time.Now(), from) {
+		e.adoptUse(batchrun.DecodeUse(b))
 		e.pool.SetLoads(time.Now(), l)
 	}
 }
@@ -142,7 +153,7 @@
 // they change, and immediately when a batch item is preempted.
 func (e *entry) reportLoads(ctx context.Context) error {
 	var last map[string]int
-	var sent time.Time
+	var sent, usedAt time.Time
 	receiver := ""
 	t := time.NewTicker(loadInterval)
 	defer t.Stop()
@@ -163,7 +174,8 @@
 				vm = x
 			}
 		}
-		if vm == receiver && maps.Equal(c.Requests, last) && now.Sub(sent) < loadRefresh {
+		c.Use = e.dueUse(now, usedAt)
+		if vm == receiver && c.Use == nil && maps.Equal(c.Requests, last) && now.Sub(sent) < loadRefresh {
 			continue
 		}
 		if vm != receiver && receiver != "" { // otherwise both would count the requests
@@ -173,6 +185,9 @@
 		if vm != "" {
 			e.n.link.Send(vm, link.Load, batchrun.EncodeCounts(c))
 			last, sent = c.Requests, now
+			if c.Use != nil {
+				usedAt = now
+			}
 		}
 	}
 }
--- a/internal/command/node/settings.go
+++ b/internal/command/node/settings.go
@@ -36,8 +36,16 @@
 	StaleAfter time.Duration // a configuration that the leading control VM has not confirmed for longer is not used; 0 is no limit
 	QuotaSlack float64       // requests by which the fleet may exceed an account's burst
 	Retention  time.Duration // of finished jobs
+	Contracts  []string      // names of what the platform has agreed on with the deployment; the platform's adapter translates them
+	Contention bool          // slots are divided among the client accounts by their shares
 }
 
+// Values of the setting "contention".
+const (
+	contentionOff = "off"
+	contentionOn  = "on"
+)
+
 // Load reads and checks a settings file.
 func Load(file string) (Settings, error) {
 	b, err := os.ReadFile(file)
@@ -64,6 +72,7 @@
 	losses, memory := float64(s.Losses), float64(s.MemoryMB)
 	files := float64(s.MaxFiles)
 	cores := float64(s.Cores)
+	contention := contentionOff
 	err = d.Root(map[string]document.Field{
 		"vm":         d.Text(&s.VM),
 		"class":      d.OneOf(&s.Class, string(roster.Entry), string(roster.Control), string(roster.Batch)),
@@ -92,8 +101,11 @@
 		"stale_after_s": d.Number(&stale),
 		"quota_slack":   d.Number(&s.QuotaSlack),
 		"retention_s":   d.Number(&retention),
+		"contracts":     nullable(d.Texts(&s.Contracts)),
+		"contention":    d.OneOf(&contention, contentionOff, contentionOn),
 	}, "vm", "class", "ip", "first_port", "seeds")
 	s.Losses, s.Cores, s.MemoryMB, s.MaxFiles = int(losses), max(1, int(cores)), int(memory), int(files)
+	s.Contention = contention == contentionOn
 	s.Grace, s.StaleAfter, s.Retention = seconds(grace), seconds(stale), seconds(retention)
 	return s, err
 }
@@ -108,6 +120,16 @@
 	}
 }
 
+// nullable wraps a field reader that rejects null; null then leaves the field as it is.
+func nullable(f document.Field) document.Field {
+	return func(path string, v hujson.Value) {
+		if l, ok := v.Value.(hujson.Literal); ok && l.Kind() == 'n' {
+			return
+		}
+		f(path, v)
+	}
+}
+
 func seconds(x float64) time.Duration {
 	return time.Duration(x * float64(time.Second))
 }
--- a/internal/command/node/settings_test.go
+++ b/internal/command/node/settings_test.go
@@ -27,6 +27,25 @@
 		Retention: 2 * time.Minute}, s)
 }
 
+// TestContentionIsOffUnlessSet guards against contention handling that takes effect where no setting enables it.
+func TestContentionIsOffUnlessSet(t *testing.T) {
+	for more, want := range map[string]node.Settings{
+		``:                                    {},
+		`, "contention": "off"`:               {},
+		`, "contention": "on"`:                {Contention: true},
+		`, "contracts": ["calm", "pressure"]`: {Contracts: []string{"calm", "pressure"}},
+		`, "contracts": []`:                   {},
+		`, "contracts": null`:                 {},
+	} {
+		s, err := node.Decode("f", []byte(strings.TrimSuffix(file, "\n}")+more+"}"))
+		require.NoError(t, err, more)
+		require.Equal(t, want.Contention, s.Contention, more)
+		require.Equal(t, want.Contracts, s.Contracts, more)
+	}
+	_, err := node.Decode("f", []byte(strings.TrimSuffix(file, "\n}")+`, "contention": "maybe"}`))
+	require.ErrorContains(t, err, "contention")
+}
+
 func TestDecodeErrorsNameFileAndKey(t *testing.T) {
 	table := map[string]struct{ from, to, want string }{
 		"unknown key": {`"losses"`, `"loses"`, "loses"},
--- a/internal/coordination/dispatch/fair_model_test.go
+++ b/internal/coordination/dispatch/fair_model_test.go
@@ -345,7 +345,7 @@
 	synctest.Test(t, func(*testing.T) { w.play() })
 	quiet, prompt, worst := w.sums(w.quiet)
 	loud, loudPrompt, _ := w.sums(func(i int) bool { return !w.quiet(i) })
-	t.Logf("%-20s quiet: %.3f served, %.3f prompt, worst %.3f; loud: %.3f served, %.3f prompt; slots busy %.3f", name, quiet, prompt, worst, loud, loudPrompt, w.busy())
+	t.Logf("%-32s quiet: %.3f served, %.3f prompt, worst %.3f; loud: %.3f served, %.3f prompt; slots busy %.3f", name, quiet, prompt, worst, loud, loudPrompt, w.busy())
 	return w
 }
 
@@ -377,10 +377,10 @@
 			t.Parallel()
 			c := x.c
 			c.loud = nil
-			contested(t, "calm", c)
-			before := contested(t, "without fairness", x.c)
+			contested(t, x.name+", calm", c)
+			before := contested(t, x.name+", without fairness", x.c)
 			x.c.fair = true
-			after := contested(t, "fair", x.c)
+			after := contested(t, x.name+", fair", x.c)
 			was, _, _ := before.sums(before.quiet)
 			is, _, _ := after.sums(after.quiet)
 			require.GreaterOrEqual(t, is, x.served)
--- a/internal/transport/batchrun/hub.go
+++ b/internal/transport/batchrun/hub.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"snipetack/internal/coordination/dispatch"
+	"snipetack/internal/coordination/fairness"
 	"snipetack/internal/state/wire"
 )
 
@@ -35,6 +36,7 @@
 	sentHints map[string]sentHint      // by entry VM or collector
 	base      map[string]dispatch.Load // by upstream, from VMs that do not report here
 	baseAt    time.Time
+	use       *fairness.Totals
 }
 
 // report is the last report of an entry VM or collector.
@@ -49,6 +51,7 @@
 	Urgent   bool           // a request has taken the slot of a batch item
 	Hashed   bool           // the sender understands link.Loads
 	Moved    bool           // the sender reports to another VM from now on
+	Use      fairness.Use   // what accounts got lately from the sender, or from those that report to it; nil when it is not reported, or not in this report
 }
 
 // sentHint is the last hint sent to an entry VM.
@@ -59,7 +62,7 @@
 
 // NewHub returns an empty Hub.
 func NewHub(l *slog.Logger) *Hub {
-	return &Hub{log: l, reports: map[string]report{}, online: map[string]int{}, sentHints: map[string]sentHint{}, onChange: func(bool) {}}
+	return &Hub{log: l, reports: map[string]report{}, online: map[string]int{}, sentHints: map[string]sentHint{}, use: fairness.NewTotals(), onChange: func(bool) {}}
 }
 
 // OnChange sets what is called after each report, which must not block; urgent is set when a request has taken the slot of a batch item.
@@ -103,8 +106,12 @@
 	}
 	h.mu.Lock()
 	h.removeReport(from)
+	if c.Use != nil {
+		h.use.Set(time.Now(), from, c.Use)
+	}
 	if c.Moved {
 		delete(h.sentHints, from)
+		h.use.Remove(from)
 	} else {
 		h.reports[from] = report{counts: c, at: time.Now()}
 	}
@@ -122,6 +129,7 @@
 	for vm, r := range h.reports {
 		if now.Sub(r.at) > reportExpiry {
 			h.removeReport(vm)
+			h.use.Remove(vm)
 			delete(h.sentHints, vm)
 		}
 	}
@@ -229,7 +237,7 @@
 	return b
 }
 
-// DecodeLoads reads the wire form of loads of the upstreams in ids; others are left out. It returns false when b is truncated.
+// DecodeLoads reads the wire form of loads of the upstreams in ids; others are left out, and a trailer is not read. It returns false when b is truncated.
 func DecodeLoads(b []byte, ids []string) (map[string]dispatch.Load, bool) {
 	known := make(map[uint32]string, len(ids))
 	for _, id := range ids {
@@ -237,21 +245,16 @@
 	}
 	m := map[string]dispatch.Load{}
 	for len(b) > 0 {
-		if len(b) < 4 {
+		x, n, ok := nextLoad(b)
+		if !ok {
 			return nil, false
 		}
-		h := binary.BigEndian.Uint32(b)
-		online, n := binary.Uvarint(b[4:])
-		if n <= 0 {
-			return nil, false
+		if string(b[:n]) == loadsEnd {
+			break
 		}
-		batch, k := binary.Uvarint(b[4+n:])
-		if k <= 0 {
-			return nil, false
-		}
-		b = b[4+n+k:]
-		if id, ok := known[h]; ok {
-			m[id] = dispatch.Load{Online: int(online), Batch: int(batch)}
+		b = b[n:]
+		if id, ok := known[x.id]; ok {
+			m[id] = dispatch.Load{Online: int(x.online), Batch: int(x.batch)}
 		}
 	}
 	return m, true
@@ -271,6 +274,9 @@
 			e.Uint(2, uint64(max(0, n)))
 		})
 	}
+	if c.Use != nil {
+		e.Element(5, c.Use.Encode(fairness.MaxSummed))
+	}
 	return e.Encoded()
 }
 
@@ -286,6 +292,12 @@
 			c.Hashed = d.Bool()
 		case 4:
 			c.Moved = d.Bool()
+		case 5:
+			u, ok := fairness.DecodeUse(d.Bytes())
+			if !ok {
+				d.Fail(wire.ErrMalformed)
+			}
+			c.Use = u
 		}
 		if f != 1 {
 			continue
--- a/internal/transport/relay/exchange.go
+++ b/internal/transport/relay/exchange.go
@@ -174,8 +174,8 @@
 
 // logAttempt logs the upstream of an attempt with the values that determined it.
 func (x *exchange) logAttempt(c dispatch.Choice) {
-	x.r.d.Log.Info("request placed", "request", x.a.ID, "account", x.a.Account.Name, "route", x.a.Route.Name, "configuration", x.a.Version,
-		"attempt", x.attempts, "upstream", c.ID, "software", c.Version, "load", c.Load, "slots", c.Slots, "event", x.lastEvent, "takes_up", x.a.TakesUp, "waited", x.slotTaken.Sub(x.a.Arrived))
+	x.r.d.Log.Info("request placed", append([]any{"request", x.a.ID, "account", x.a.Account.Name, "route", x.a.Route.Name, "configuration", x.a.Version,
+		"attempt", x.attempts, "upstream", c.ID, "software", c.Version, "load", c.Load, "slots", c.Slots, "event", x.lastEvent, "takes_up", x.a.TakesUp, "waited", x.slotTaken.Sub(x.a.Arrived)}, x.standing(c.Standing)...)...)
 }
 
 // doubtful reports whether an upstream may have started again, with another version of its software, since the list was read.
@@ -234,6 +234,8 @@
 		Latest:   latest,
 		MaxWait:  time.Until(latest),
 		Ticket:   ticket,
+		Account:  x.a.Account.Name,
+		Size:     x.r.runTimes.Mean(x.a.Route.Name),
 	}
 	if x.attempts >= maxAttempts {
 		return dispatch.Choice{}, false
@@ -535,7 +537,8 @@
 		x.s.Abort()
 		return
 	}
-	x.r.refuse(x.a.Request, x.a.Route.Kind.String(), x.s, x.failure(ctx))
+	standing, _ := x.r.d.Pool.Standing(time.Now(), x.a.Service, x.a.Account.Name)
+	x.r.refuse(x.a.Request, x.a.Route.Kind.String(), x.s, x.failure(ctx), x.standing(standing)...)
 }
 
 // failure returns the error for the caller. It states that the request has not run unless an upstream may have run it.
@@ -558,6 +561,6 @@
 	case x.r.cutsOff(x.a):
 		return stopping()
 	default:
-		return result.New(result.QueueFull, "%s", x.reason).After(spread(max(minRetryAfter, x.r.d.Pool.Forecast(time.Now(), x.a.Service))))
+		return result.New(result.QueueFull, "%s", x.reason).After(spread(max(minRetryAfter, x.r.d.Pool.ForecastFor(time.Now(), x.forecastRequest()))))
 	}
 }
--- a/internal/transport/relay/relay.go
+++ b/internal/transport/relay/relay.go
@@ -221,10 +221,10 @@
 	x.run(ctx)
 }
 
-func (r *Relay) refuse(q *Request, kind string, s Sink, f *result.Failure) {
+func (r *Relay) refuse(q *Request, kind string, s Sink, f *result.Failure, more ...any) {
 	r.d.Traffic.Request(kind, int(f.Code))
-	r.d.Log.Info("request refused", "request", q.ID, "code", int(f.Code), "ran", string(f.Ran), "reason", f.Detail,
-		"waited", time.Since(q.Arrived))
+	r.d.Log.Info("request refused", append([]any{"request", q.ID, "code", int(f.Code), "ran", string(f.Ran), "reason", f.Detail,
+		"waited", time.Since(q.Arrived)}, more...)...)
 	s.Refuse(f)
 }
 
