--- a/internal/command/node/settings.go
+++ b/internal/command/node/settings.go
@@ -36,10 +36,18 @@
 	StaleAfter time.Duration // a configuration that the leading control VM has not confirmed for longer is not used; 0 is no limit
 	QuotaSlack float64       // requests by which the fleet may exceed an account's burst
 	Retention  time.Duration // of finished jobs
+	Contracts  []string      // names of what the platform has agreed on with the deployment; the platform's adapter translates them
+	Contention bool          // slots are divided among the client accounts by their shares
 
 	Zones map[string]string // region of each data centre; nil if the settings don't name them
 }
 
+// Values of the setting "contention".
+const (
+	contentionOff = "off"
+	contentionOn  = "on"
+)
+
 // Load reads and checks a settings file.
 func Load(file string) (Settings, error) {
 	b, err := os.ReadFile(file)
@@ -66,6 +74,7 @@
 	losses, memory := float64(s.Losses), float64(s.MemoryMB)
 	files := float64(s.MaxFiles)
 	cores := float64(s.Cores)
+	contention := contentionOff
 	err = d.Root(map[string]document.Field{
 		"vm":         d.Text(&s.VM),
 		"class":      d.OneOf(&s.Class, string(roster.Entry), string(roster.Control), string(roster.Batch)),
@@ -94,9 +103,12 @@
 		"stale_after_s": d.Number(&stale),
 		"quota_slack":   d.Number(&s.QuotaSlack),
 		"retention_s":   d.Number(&retention),
+		"contracts":     nullable(d.Texts(&s.Contracts)),
+		"contention":    d.OneOf(&contention, contentionOff, contentionOn),
 		"zones":         d.TextMap(&s.Zones),
 	}, "vm", "class", "ip", "first_port", "seeds")
 	s.Losses, s.Cores, s.MemoryMB, s.MaxFiles = int(losses), max(1, int(cores)), int(memory), int(files)
+	s.Contention = contention == contentionOn
 	s.Grace, s.StaleAfter, s.Retention = seconds(grace), seconds(stale), seconds(retention)
 	return s, err
 }
@@ -111,6 +123,16 @@
 	}
 }
 
+// nullable wraps a field reader that rejects null; null then leaves the field as it is.
+func nullable(f document.Field) document.Field {
+	return func(path string, v hujson.Value) {
+		if l, ok := v.Value.(hujson.Literal); ok && l.Kind() == 'n' {
+			return
+		}
+		f(path, v)
+	}
+}
+
 func seconds(x float64) time.Duration {
 	return time.Duration(x * float64(time.Second))
 }
