dispatch, filler: Keep requests and items in their home regions

A route or a client account could not be bound to regions, so a request went to any upstream of its service.

The configuration's allowedRegions become plan.Homes of routes and accounts, and the settings' zones give the region of each data centre. A bound request takes only upstreams in the homes of both its route and its account, also when it is queued, repeated or resumed, and an item starts only there. Without an upstream there it is refused at once, like one whose service has none. A data centre without a known region is no home. The bodies of jobs are not bound yet: the batch group replicates them to all of its members.

--- a/internal/command/node/batch.go
+++ b/internal/command/node/batch.go
@@ -49,6 +49,7 @@
 		Plan:      n.member.Plan,
 		List:      func() []roster.Upstream { l, _ := n.member.Upstreams(); return l },
 		Segments:  n.Adapters.Segments,
+		Regions:   n.Settings.Zones,
 		Retention: n.Settings.Retention,
 		LoadAge:   n.member.loadAge,
 		MaxBodies: int(bodiesFraction * float64(n.Settings.MemoryMB) * (1 << 20)),
--- a/internal/command/node/entry.go
+++ b/internal/command/node/entry.go
@@ -57,7 +57,7 @@
 	e := &entry{n: n, preempted: make(chan struct{}, 1)}
 	e.requests, e.endRequests = context.WithCancel(context.Background())
 	m := n.member
-	e.pool = dispatch.New(dispatch.Deps{Zone: n.Settings.Zone, Connected: n.conns.Idle, Doubtful: m.restarts.Doubtful, OnPreemption: func(dispatch.Choice) {
+	e.pool = dispatch.New(dispatch.Deps{Zone: n.Settings.Zone, Regions: n.Settings.Zones, Connected: n.conns.Idle, Doubtful: m.restarts.Doubtful, OnPreemption: func(dispatch.Choice) {
 		select {
 		case e.preempted <- struct{}{}:
 		default:
--- a/internal/command/node/member.go
+++ b/internal/command/node/member.go
@@ -852,6 +852,9 @@
 	if m.plan == nil || p.Version > m.plan.Version {
 		m.n.Log.Info("configuration in force", "version", p.Version, "routes", len(p.Routes))
 		m.plan = p
+		if len(m.n.Settings.Zones) == 0 && p.HasHomes() {
+			m.n.Log.Warn("routes or accounts are bound to regions, and the settings name none: they are not served here", "version", p.Version)
+		}
 	}
 }
 
--- a/internal/coordination/dispatch/pool.go
+++ b/internal/coordination/dispatch/pool.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"snipetack/internal/coordination/roster"
+	"snipetack/internal/state/plan"
 )
 
 // Policy of a Pool.
@@ -46,6 +47,7 @@
 	Only     string   // id of the only acceptable upstream, or ""
 	Pinned   bool     // only upstreams of Version are acceptable
 	Version  string
+	Homes    plan.Homes    // only upstreams in these regions are acceptable
 	Priority int           // 0 is the most urgent
 	Latest   time.Time     // after which a start is of no use to the caller; the earliest goes first within a priority, then in order of arrival
 	MaxWait  time.Duration // the request is not queued when it is expected to wait for longer
@@ -113,6 +115,7 @@
 // Deps are the collaborators of a Pool.
 type Deps struct {
 	Zone         string                    // data centre of this VM
+	Regions      map[string]string         // region of each data centre; may be nil, then nothing that is bound to homes is served
 	Connected    func(address string) bool // reports whether an idle connection is open
 	Doubtful     func(id string) bool      // reports whether an upstream may have started again with another version; may be nil
 	OnPreemption func(Choice)              // called when a request takes a slot that a batch item has to release; must not block
@@ -158,9 +161,8 @@
 // dropUnservable closes the channels of the queued requests that no upstream can take any more.
 func (p *Pool) dropUnservable() {
 	for s, l := range p.waiters {
-		none := !p.hasUpstream(s)
 		p.waiters[s] = slices.DeleteFunc(l, func(w *waiter) bool {
-			lost := none || w.Pinned && !p.hasVersion(s, w.Version, "") || p.evacuated(w.Only)
+			lost := !p.servable(w.Request, "") || p.evacuated(w.Only)
 			if lost {
 				close(w.assigned)
 			}
@@ -169,19 +171,6 @@
 	}
 }
 
-// HasVersion reports whether a service has an upstream of a version, other than one, that is not draining.
-func (p *Pool) HasVersion(service, version, other string) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.hasVersion(service, version, other)
-}
-
-func (p *Pool) hasVersion(service, version, other string) bool {
-	return slices.ContainsFunc(p.services[service], func(u *upstream) bool {
-		return !u.Draining && u.Version == version && u.ID != other
-	})
-}
-
 // SetLoads replaces the loads from other VMs, by upstream id; they expire after loadsExpiry.
 func (p *Pool) SetLoads(now time.Time, loads map[string]Load) {
 	p.mu.Lock()
@@ -240,17 +229,17 @@
 func (p *Pool) Forecast(now time.Time, service string) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.forecast(now, service, len(p.waiters[service]))
+	return p.forecast(now, service, plan.Homes{}, len(p.waiters[service]))
 }
 
 // forecast returns the wait of a request that so many others are ahead of. Slots become free for this VM at the rate at which it got some in
 // the last seconds, or at which those that it has taken will end, whichever is higher: a request that is refused for a wrong forecast is lost,
 // one that is queued for a wrong one only waits.
-func (p *Pool) forecast(now time.Time, service string, ahead int) time.Duration {
+func (p *Pool) forecast(now time.Time, service string, h plan.Homes, ahead int) time.Duration {
 	unlimited, usable, own := false, false, 0
 	first := time.Duration(math.MaxInt64) // until an upstream may take a request again
 	for _, u := range p.services[service] {
-		if u.Draining {
+		if u.Draining || !p.home(u, h) {
 			continue
 		}
 		usable = true
@@ -261,7 +250,7 @@
 	if !usable {
 		return 0
 	}
-	rate := p.slotRates[service].at(now)
+	rate := p.slotRates[service].at(now) * p.homeShare(service, h)
 	switch t := p.slotTimes[service]; {
 	case !unlimited:
 		rate = max(rate, minSlotRate)
@@ -354,7 +343,7 @@
 func (p *Pool) Take(now time.Time, r Request) (Choice, <-chan Choice, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !p.hasUpstream(r.Service) || r.Pinned && !p.hasVersion(r.Service, r.Version, "") || p.evacuated(r.Only) {
+	if !p.servable(r, "") || p.evacuated(r.Only) {
 		return Choice{}, nil, false
 	}
 	if !p.hasWaiterBefore(r) || r.Prefer != "" {
@@ -370,7 +359,7 @@
 	l := p.waiters[r.Service]
 	w := &waiter{Request: r, seq: seq, assigned: make(chan Choice, 1)}
 	i, _ := slices.BinarySearchFunc(l, w, before)
-	if i >= waitersMax || p.forecast(now, r.Service, i) > r.MaxWait {
+	if i >= waitersMax || p.forecast(now, r.Service, r.Homes, i) > r.MaxWait {
 		return Choice{}, nil, false
 	}
 	if len(l) >= waitersMax {
@@ -412,10 +401,10 @@
 }
 
 // hasWaiterBefore reports whether a queued request may take each upstream that is acceptable to r: one that takes any, or any of the version that
-// both are pinned to.
+// both are pinned to, in homes that include those of r.
 func (p *Pool) hasWaiterBefore(r Request) bool {
 	return slices.ContainsFunc(p.waiters[r.Service], func(w *waiter) bool {
-		return w.takesAnyOfVersion() && (!w.Pinned && !r.Pinned || w.Pinned && r.Pinned && w.Version == r.Version)
+		return w.takesAnyOfVersion() && w.Homes.Covers(r.Homes) && (!w.Pinned && !r.Pinned || w.Pinned && r.Pinned && w.Version == r.Version)
 	})
 }
 
@@ -558,11 +547,12 @@
 func (p *Pool) serveWaiters(now time.Time, service string) {
 	l := p.waiters[service]
 	var kept []*waiter
-	full := map[string]bool{} // versions without a free slot
+	full := map[string]bool{} // restrictions of requests without a free slot
 	for len(l) > 0 {
 		w := l[0]
 		var u *upstream
-		if !w.Pinned || !full[w.Version] {
+		restricted := w.restriction()
+		if restricted == "" || !full[restricted] {
 			u = p.pick(now, w.Request)
 		}
 		switch {
@@ -572,7 +562,7 @@
 			p.waiters[service] = append(kept, l...)
 			return
 		default:
-			full[w.Version] = full[w.Version] || w.Pinned && w.takesAnyOfVersion()
+			full[restricted] = full[restricted] || w.takesAnyOfVersion()
 			kept = append(kept, w)
 		}
 		l = l[1:]
@@ -581,9 +571,9 @@
 }
 
 // takesAny reports whether each upstream of the service may take the request.
-func (r *Request) takesAny() bool { return !r.Pinned && r.takesAnyOfVersion() }
+func (r *Request) takesAny() bool { return !r.Pinned && !r.Homes.Bound() && r.takesAnyOfVersion() }
 
-// takesAnyOfVersion reports whether each upstream of the service, or of the version that the request is pinned to, may take it.
+// takesAnyOfVersion reports whether each upstream in the request's homes, or of those the ones of the version that it is pinned to, may take it.
 func (r *Request) takesAnyOfVersion() bool { return len(r.Exclude) == 0 && r.Only == "" }
 
 // pick returns the eligible upstream with the lowest score, or nil; in a large fleet it compares a random sample.
@@ -633,7 +623,7 @@
 	if u.Draining || now.Before(u.avoidUntil) || now.Before(u.limitedUntil) || u.asking {
 		return false
 	}
-	if r.Pinned && (u.Version != r.Version || p.doubtful(u)) {
+	if r.Pinned && (u.Version != r.Version || p.doubtful(u)) || !p.home(u, r.Homes) {
 		return false
 	}
 	if slices.Contains(r.Exclude, u.ID) || r.Only != "" && r.Only != u.ID {
--- a/internal/coordination/dispatch/version_test.go
+++ b/internal/coordination/dispatch/version_test.go
@@ -58,9 +58,9 @@
 	_, wait, ok = p.Take(now, pinned)
 	require.False(t, ok)
 	require.Nil(t, wait)
-	require.False(t, p.HasVersion("s", "v1", ""))
-	require.False(t, p.HasVersion("s", "v2", "up-v2"))
-	require.True(t, p.HasVersion("s", "v2", ""))
+	require.False(t, p.Servable(dispatch.Request{Service: "s", Pinned: true, Version: "v1"}, ""))
+	require.False(t, p.Servable(dispatch.Request{Service: "s", Pinned: true, Version: "v2"}, "up-v2"))
+	require.True(t, p.Servable(dispatch.Request{Service: "s", Pinned: true, Version: "v2"}, ""))
 }
 
 // TestUpstreamThatReturnsWithAnotherVersionTakesNoPinnedRequest reuses id and address.
--- a/internal/coordination/filler/filler.go
+++ b/internal/coordination/filler/filler.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"snipetack/internal/state/plan"
 )
 
 // Key identifies an item by its job and its index there.
@@ -17,6 +19,7 @@
 	ID      string
 	Service string
 	Version string // of its software
+	Region  string // "" if it is not known
 	Slots   int
 	Online  int  // online requests in flight, from all VMs
 	Closed  bool // takes no batch items now; running ones continue
@@ -54,6 +57,8 @@
 	// the service has no other.
 	Pinned  bool
 	Version string
+
+	Homes plan.Homes // an upstream elsewhere is never used
 }
 
 // Start assigns an item to an upstream.
@@ -121,7 +126,7 @@
 		}
 		s.add(r, n)
 	}
-	unassigned := map[string]int{}
+	unassigned := map[string][]*Pending{}
 	for _, w := range ordered(now, pending) {
 		id := ""
 		if s := services[w.Service]; s != nil {
@@ -131,7 +136,7 @@
 		case id != "":
 			d.Starts = append(d.Starts, Start{Key: w.Key, Upstream: id})
 		case !w.Late(now):
-			unassigned[w.Service]++
+			unassigned[w.Service] = append(unassigned[w.Service], w)
 		}
 	}
 	d.Displaced = displaced(now, capacities, used, unassigned, d.Preempted)
@@ -146,14 +151,18 @@
 	})
 }
 
-// displaced returns the late runs to stop for unassigned pending items that can be on time; unassigned counts these by service
+// displaced returns the late runs to stop for unassigned pending items that can be on time; unassigned has these by service
 // and stopped lists the runs that are preempted already.
-func displaced(now time.Time, capacities []Capacity, used map[string][]Run, unassigned map[string]int, stopped []Key) []Key {
+func displaced(now time.Time, capacities []Capacity, used map[string][]Run, unassigned map[string][]*Pending, stopped []Key) []Key {
 	var l []Key
 	for _, r := range capacities {
 		for _, x := range used[r.ID] {
-			if unassigned[r.Service] > 0 && !r.Closed && x.Late(now) && !slices.Contains(stopped, x.Key) {
-				unassigned[r.Service]--
+			if len(unassigned[r.Service]) == 0 || r.Closed || !x.Late(now) || slices.Contains(stopped, x.Key) {
+				continue
+			}
+			i := slices.IndexFunc(unassigned[r.Service], func(w *Pending) bool { return w.Homes.Allow(r.Region) })
+			if i >= 0 {
+				unassigned[r.Service] = slices.Delete(unassigned[r.Service], i, i+1)
 				l = append(l, x.Key)
 			}
 		}
@@ -193,6 +202,7 @@
 type freeSlots struct {
 	ids      []string
 	versions []string
+	regions  []string
 	free     []int // by upstream; negative where runs have to be preempted for online requests
 	headroom []int // by upstream
 	sum      int   // of the positive counts
@@ -201,7 +211,7 @@
 }
 
 func (p *freeSlots) add(c Capacity, free int) {
-	p.ids, p.versions = append(p.ids, c.ID), append(p.versions, c.Version)
+	p.ids, p.versions, p.regions = append(p.ids, c.ID), append(p.versions, c.Version), append(p.regions, c.Region)
 	p.free, p.headroom = append(p.free, free), append(p.headroom, c.Headroom)
 	p.sum += max(0, free)
 	p.beyond += max(0, free-c.Headroom)
@@ -222,12 +232,15 @@
 		return p.free[i] - p.headroom[i]
 	}
 	for i, id := range p.ids {
+		if !w.Homes.Allow(p.regions[i]) {
+			continue
+		}
 		g := (!w.Pinned || p.versions[i] == w.Version) && (len(w.Avoid) == 0 || !slices.Contains(w.Avoid, id))
 		if best < 0 || g && !good || g == good && left(i) > left(best) {
 			best, good = i, g
 		}
 	}
-	if left(best) <= 0 {
+	if best < 0 || left(best) <= 0 {
 		return ""
 	}
 	if p.free[best] > p.headroom[best] {
--- a/internal/state/plan/plan.go
+++ b/internal/state/plan/plan.go
@@ -53,6 +53,7 @@
 	Due        time.Duration // from a job's first arrival until its results are due
 	GiveUp     time.Duration // from a job's first arrival until an item may be given up; 0 is never
 	MaxWaiting int           // max tokens of an account's open items on the route; 0 is no limit
+	Homes      Homes
 }
 
 // Target is a service and its weight in the choice among a route's targets.
@@ -77,6 +78,7 @@
 	Priority int     // used instead of the route's
 	Rate     float64 // requests per second over the whole fleet; 0 is no limit
 	Burst    float64 // size of the token bucket in requests
+	Homes    Homes
 }
 
 // Limits bound what a caller may send. Only BodyBytes has an effect so far.
--- a/internal/transport/batchrun/items.go
+++ b/internal/transport/batchrun/items.go
@@ -23,6 +23,7 @@
 	route      *plan.Route // in plan; nil when it has none
 
 	targets  []plan.Target // of route, those whose upstreams can hold the item
+	homes    plan.Homes    // of route and account
 	parsed   bool          // segments is set
 	segments []string      // of the prompt, without the item's own
 }
@@ -80,13 +81,14 @@
 }
 
 // lookUp finds the item's route in a configuration; the result of the last call is cached.
-func (i *item) lookUp(p *plan.Plan, host string, x *docket.Item) {
+func (i *item) lookUp(p *plan.Plan, host, account string, x *docket.Item) {
 	if i.plan == p {
 		return
 	}
 	i.plan, i.route, i.targets = p, p.Route(host, x.Path), nil
 	if i.route != nil {
 		i.targets = p.Holding(i.route, x.Tokens)
+		i.homes = i.route.Homes.Meet(p.Accounts[account].Homes)
 	}
 }
 
@@ -98,19 +100,29 @@
 }
 
 // served records when each service last had an upstream.
-type served map[string]time.Time
+type served map[string]map[string]time.Time // by service and region
 
 // add records the services of a list of upstreams.
-func (s served) add(now time.Time, l []roster.Upstream) {
+func (s served) add(now time.Time, l []roster.Upstream, regions map[string]string) {
 	for _, u := range l {
-		s[u.Service] = now
+		if s[u.Service] == nil {
+			s[u.Service] = map[string]time.Time{}
+		}
+		s[u.Service][regions[u.Zone]] = now
 	}
 }
 
-// without reports whether none of the targets has had an upstream for d; began is when the record began.
-func (s served) without(now, began time.Time, d time.Duration, targets []plan.Target) bool {
+// without reports whether none of the targets has had an upstream in homes for d; began is when the record began.
+func (s served) without(now, began time.Time, d time.Duration, targets []plan.Target, homes plan.Homes) bool {
 	if now.Sub(began) < d {
 		return false
 	}
-	return !slices.ContainsFunc(targets, func(t plan.Target) bool { return now.Sub(s[t.Service]) < d })
+	return !slices.ContainsFunc(targets, func(t plan.Target) bool {
+		for region, at := range s[t.Service] {
+			if homes.Allow(region) && now.Sub(at) < d {
+				return true
+			}
+		}
+		return false
+	})
 }
--- a/internal/transport/batchrun/runner.go
+++ b/internal/transport/batchrun/runner.go
@@ -50,6 +50,7 @@
 	Plan      func() *plan.Plan // returns nil before the first configuration
 	List      func() []roster.Upstream
 	Segments  func(headers map[string]string) []string // ids of the segments of an item's prompt that other requests may share
+	Regions   map[string]string                        // region of each data centre; may be nil
 	Retention time.Duration                            // time from a job's acceptance for which it is kept at least
 	LoadAge   func() time.Duration                     // how old the loads are by which entry VMs choose an upstream
 	MaxBodies int                                      // bytes of the bodies of open items, above which no further job is accepted; 0 is no limit
@@ -193,7 +194,7 @@
 	if r.leadsSince.IsZero() {
 		r.leadsSince = now
 	}
-	r.served.add(now, r.d.List())
+	r.served.add(now, r.d.List(), r.d.Regions)
 	r.pace.Seed(r.d.Docket.TimePerToken())
 	pending, jobs := r.pendingItems(ctx, now, p)
 	r.stopEnded(jobs)
@@ -433,7 +434,7 @@
 	if x.run != nil || x.committing || now.Before(x.notBefore) {
 		return filler.Pending{}, false
 	}
-	x.lookUp(p, j.Host, &j.Items[k.Item])
+	x.lookUp(p, j.Host, j.Account, &j.Items[k.Item])
 	u := x.route
 	if u == nil {
 		if j.Age(now) > routeGrace+clockMargin {
@@ -452,7 +453,7 @@
 	if x.fruitless >= maxFruitless && r.giveUp(ctx, now, j, k, u, "no run brings an event") {
 		return filler.Pending{}, false
 	}
-	if r.served.without(now, r.leadsSince, unservedGrace, x.targets) && r.giveUp(ctx, now, j, k, u, "no upstream of the service") {
+	if r.served.without(now, r.leadsSince, unservedGrace, x.targets, x.homes) && r.giveUp(ctx, now, j, k, u, "no upstream of the service") {
 		return filler.Pending{}, false
 	}
 	ran := time.Duration(0)
@@ -460,7 +461,7 @@
 		ran = x.partial.ran
 	}
 	t := filler.Task{Key: k, Due: j.Accepted.Add(u.Due), Left: r.pace.Left(j.Items[k.Item].Tokens, ran), Tokens: j.Items[k.Item].Tokens}
-	w := filler.Pending{Task: t, Service: relay.Choose(x.targets), Avoid: x.avoid}
+	w := filler.Pending{Task: t, Service: relay.Choose(x.targets), Avoid: x.avoid, Homes: x.homes}
 	if x.partial != nil && x.partial.lastEvent > 0 {
 		w.Pinned, w.Version = true, x.partial.version
 	}
@@ -503,6 +504,7 @@
 		}
 		l = append(l, filler.Capacity{
 			Version: version,
+			Region:  r.d.Regions[u.Zone],
 			ID:      u.ID,
 			Service: u.Service,
 			Slots:   slots,
--- a/internal/transport/relay/exchange.go
+++ b/internal/transport/relay/exchange.go
@@ -137,12 +137,22 @@
 		return originLost("the route has left the service that began the stream")
 	}
 	x.pinned, x.origin, x.a.Service = true, o, o.Service
-	if !x.r.d.Pool.HasVersion(o.Service, o.Version, "") {
+	if !x.servable("") {
 		return originLost(versionGone)
 	}
 	return nil
 }
 
+// servable reports whether an upstream other than one may serve the request some time: in its homes, and of the version that it is pinned to.
+func (x *exchange) servable(other string) bool {
+	return x.r.d.Pool.Servable(x.choice(), other)
+}
+
+// choice returns which upstreams may serve the request.
+func (x *exchange) choice() dispatch.Request {
+	return dispatch.Request{Service: x.a.Service, Homes: x.a.Homes, Pinned: x.pinned, Version: x.origin.Version}
+}
+
 // versionGone is why a stream can't go on.
 const versionGone = "no upstream of the software version that began the stream is left"
 
@@ -231,6 +241,7 @@
 		Priority: x.priority(),
 		Pinned:   x.pinned,
 		Version:  x.origin.Version,
+		Homes:    x.a.Homes,
 		Latest:   latest,
 		MaxWait:  time.Until(latest),
 		Ticket:   ticket,
@@ -238,7 +249,7 @@
 	if x.attempts >= maxAttempts {
 		return dispatch.Choice{}, false
 	}
-	if x.pinned && !x.r.d.Pool.HasVersion(q.Service, q.Version, "") {
+	if x.pinned && !x.servable("") {
 		x.reason = versionGone
 		return dispatch.Choice{}, false
 	}
@@ -269,7 +280,7 @@
 			if !ok {
 				x.reason = "there will be no room in time"
 			}
-			if !ok && x.pinned && !x.r.d.Pool.HasVersion(x.a.Service, x.origin.Version, "") {
+			if !ok && x.pinned && !x.servable("") {
 				x.reason = versionGone
 			}
 			if ok && time.Now().After(x.latestStart()) { // which is earlier now than it was when the wait began, as run times are better known
@@ -424,7 +435,7 @@
 		}
 		// A busy upstream has the request in its queue; elsewhere it would have to wait again unless there is a free slot.
 		queued := x.r.d.Pool.RespondedSince(c.ID, began)
-		return (!queued || x.r.d.Pool.HasRoom(now, dispatch.Request{Service: x.a.Service, Pinned: x.pinned, Version: x.origin.Version}, c.ID)) && x.r.d.RetryPolicy.TakeRetry()
+		return (!queued || x.r.d.Pool.HasRoom(now, x.choice(), c.ID)) && x.r.d.RetryPolicy.TakeRetry()
 	}}
 }
 
@@ -555,9 +566,11 @@
 		return originLost(versionGone)
 	case !x.r.d.Pool.HasUpstream(x.a.Service):
 		return result.New(result.UpstreamNone, "service has no upstream").After(spread(upstreamsRetryAfter))
+	case !x.servable(""):
+		return result.New(result.UpstreamNone, "service has no upstream in the home regions").After(spread(upstreamsRetryAfter))
 	case x.r.cutsOff(x.a):
 		return stopping()
 	default:
-		return result.New(result.QueueFull, "%s", x.reason).After(spread(max(minRetryAfter, x.r.d.Pool.Forecast(time.Now(), x.a.Service))))
+		return result.New(result.QueueFull, "%s", x.reason).After(spread(max(minRetryAfter, x.r.d.Pool.ForecastIn(time.Now(), x.a.Service, x.a.Homes))))
 	}
 }
--- a/internal/transport/relay/relay.go
+++ b/internal/transport/relay/relay.go
@@ -134,7 +134,8 @@
 	Owner   string       // account that holds the request's key, also on public routes; "" if none does
 	Until   time.Time    // deadline of the final response
 	Service string
-	Version uint64 // of the configuration that was applied
+	Homes   plan.Homes // of the route and of the owner of the key
+	Version uint64     // of the configuration that was applied
 
 	Fingerprint string // the same for equal requests of the account; set by Serve
 }
@@ -152,7 +153,7 @@
 	}
 	a := &Admitted{Request: q, Route: u, Version: p.Version}
 	c, ok := p.AccountOf(q.Key)
-	a.Owner = c.Name
+	a.Owner, a.Homes = c.Name, u.Homes.Meet(c.Homes)
 	if !u.Public && len(p.Accounts) > 0 {
 		if !ok {
 			return nil, keyUnknown()
--- a/internal/transport/relay/stream.go
+++ b/internal/transport/relay/stream.go
@@ -165,7 +165,7 @@
 	}
 	limit := max(minGapTimeout, time.Duration(gapTimeoutFraction*float64(x.a.Route.GapLimit)))
 	return &watchdog{limit: limit, cancel: cancel, expire: func() bool {
-		if x.pinned && !x.r.d.Pool.HasVersion(x.a.Service, x.origin.Version, c.ID) {
+		if (x.pinned || x.a.Homes.Bound()) && !x.servable(c.ID) {
 			return false // no other upstream can go on with the stream
 		}
 		return !x.r.d.Pool.RespondedSince(c.ID, time.Now().Add(-limit)) || x.r.d.RetryPolicy.TakeRetry()
