evacuations: Add the product's own calls and commands

Only the platform's calls could order an evacuation, and nothing listed them.

A control VM serves GET of /v1/evacuations, and PUT and DELETE of a data centre there, beside the platform's calls; snipetack evacuation list, start and end make them. Items in an evacuated data centre are not preempted for headroom any more, as no online requests follow. snipetack status reads fleets of snipetack serve, which have no evacuations; that is left.

--- a/internal/command/cli/entries.go
+++ b/internal/command/cli/entries.go
@@ -11,6 +11,7 @@
 		{name: "quickstart", short: "run the main job on embedded defaults", long: "Runs seven VMs and stand-in upstreams in one process, onboards a team, streams a response, and runs a batch while a keeper is lost.", make: newCommand[quickstartCommand]()},
 		{name: "serve", short: "run one VM of a fleet", long: "Runs the VM that --vm names until SIGTERM, which stops it gracefully.", make: newCommand[serve]()},
 		{name: "node", short: "run one VM that finds the others", long: "Runs one VM of a fleet whose VMs find each other from seeds, until SIGTERM, which stops it gracefully.", make: newCommand[nodeCommand]()},
+		{name: "evacuation", short: "evacuate data centres", long: "Orders at a control VM that snipetack node runs.", subs: evacuationEntries()},
 		{name: "check", short: "check a settings file", long: "Reads a settings file and prints the first mistake with file, line, column and key.", make: newCommand[check]()},
 		{name: "explain", short: "show the timeline of a request or job", long: "Reads logs of VMs and prints the lines about a request or job (marked *), with what its VMs logged about the fleet meanwhile.", make: newCommand[explainCommand]()},
 		{name: "certs", short: "create certificates", long: "Creates the fleet's authority, a certificate for each VM and the operator's token.", make: newCommand[certs]()},
--- a/internal/command/node/control.go
+++ b/internal/command/node/control.go
@@ -19,6 +19,7 @@
 	"snipetack/internal/state/group"
 	"snipetack/internal/state/plan"
 	"snipetack/internal/state/result"
+	"snipetack/internal/transport/evacuations"
 	"snipetack/internal/transport/link"
 )
 
@@ -179,7 +180,7 @@
 	g.Go(func() error { return c.maintainRoster(ctx) })
 	g.Go(func() error { return c.readList(ctx) })
 	g.Go(func() error {
-		return serveHTTP(ctx, c.n, c.n.Settings.Operators, c.n.Adapters.Operators(c))
+		return serveHTTP(ctx, c.n, c.n.Settings.Operators, evacuations.Handler(c, c.n.Adapters.Operators(c)))
 	})
 	return g.Wait()
 }
@@ -311,13 +312,13 @@
 		return nil, err
 	}
 	s := c.machine.State()
-	revision, evacuations := c.n.member.evacuations.Known() // those of s or, on a VM outside the group, of a bulletin
+	revision, known := c.n.member.evacuations.Known() // those of s or, on a VM outside the group, of a bulletin
 	x, ok := c.lead(r, s)
 	if !ok {
 		x = c.follow(r, s)
 	}
 	x.Evacuates = ok && r.VM.Class == roster.Control && c.evacuates.Load()
-	x.SetEvacuations(r, revision, evacuations)
+	x.SetEvacuations(r, revision, known)
 	if err := c.packer.Pack(r, &x); err != nil {
 		c.n.Log.Error("configuration sent uncompressed", "error", err)
 	}
--- a/internal/command/node/evacuate.go
+++ b/internal/command/node/evacuate.go
@@ -22,6 +22,12 @@
 	return c.orderEvacuation(ctx, zone, true)
 }
 
+// Evacuations returns the newest committed evacuations and their revision.
+func (c *control) Evacuations(ctx context.Context) (revision uint64, l []plan.Evacuation, err error) {
+	s, err := c.state(ctx)
+	return s.EvacuationRevision, s.Evacuations, err
+}
+
 func (c *control) orderEvacuation(ctx context.Context, zone string, end bool) error {
 	began := time.Now()
 	err := c.settleEvacuation(ctx, zone, end)
--- a/internal/coordination/filler/filler.go
+++ b/internal/coordination/filler/filler.go
@@ -23,6 +23,7 @@
 	Slots   int
 	Online  int  // online requests in flight, from all VMs
 	Closed  bool // takes no batch items now; running ones continue
+	Settled bool // Closed, and no online requests come either: no run is preempted for headroom
 
 	// Headroom is how many slots to leave free for online requests that are on their way: the counts are up to a tenth of a second old.
 	// Urgent items use these slots.
@@ -113,7 +114,7 @@
 		n := r.Slots - r.Online - len(used[r.ID])
 		if n < 0 {
 			d.Preempted = append(d.Preempted, leastUrgent(now, used[r.ID], -n)...)
-		} else if n < r.Headroom {
+		} else if n < r.Headroom && !r.Settled {
 			d.Preempted = append(d.Preempted, notUrgent(now, r.Turn, leastUrgent(now, used[r.ID], 1), used[r.ID])...)
 		}
 		if r.Closed {
--- a/internal/coordination/filler/homes_test.go
+++ b/internal/coordination/filler/homes_test.go
@@ -28,3 +28,13 @@
 	require.Empty(t, d.Starts)
 	require.Equal(t, []filler.Key{{Job: "s1"}}, d.Displaced)
 }
+
+// TestRunsInAnEvacuatedDataCentreGoOn guards against a run that is cancelled for online requests which will not come.
+func TestRunsInAnEvacuatedDataCentreGoOn(t *testing.T) {
+	now := time.Unix(1000, 0)
+	run := filler.Run{Task: filler.Task{Key: filler.Key{Job: "1"}, Due: now.Add(time.Hour), Left: time.Second}, Upstream: "n"}
+	for _, evacuated := range []bool{false, true} {
+		d := filler.Plan(now, []filler.Capacity{{ID: "n", Service: "s", Slots: 1, Headroom: 1, Closed: true, Settled: evacuated}}, []filler.Run{run}, nil)
+		require.Equal(t, evacuated, len(d.Preempted) == 0)
+	}
+}
--- a/internal/transport/batchrun/runner.go
+++ b/internal/transport/batchrun/runner.go
@@ -510,6 +510,7 @@
 			Slots:   slots,
 			Online:  online[u.ID],
 			Closed:  u.Draining || now.Before(r.closedUntil[u.ID]),
+			Settled: u.Evacuated,
 		})
 	}
 	return l
