--- a/internal/coordination/dispatch/fair.go
+++ b/internal/coordination/dispatch/fair.go
@@ -50,7 +50,7 @@
 	case i >= waitersMax:
 		p.shed(ShedFull)
 		return nil
-	case p.forecast(now, w.Service, i) > w.MaxWait:
+	case p.forecast(now, w.Service, w.Homes, i) > w.MaxWait:
 		p.shed(ShedLate)
 		return nil
 	}
@@ -152,8 +152,8 @@
 	defer p.mu.Unlock()
 	l := p.waiters[r.Service]
 	if p.d.Fairness == nil {
-		return p.forecast(now, r.Service, len(l))
+		return p.forecast(now, r.Service, r.Homes, len(l))
 	}
 	w := &waiter{Request: r, seq: p.lastSeq + 1}
-	return p.forecast(now, r.Service, slices.Index(p.arrange(now, r.Service, append(slices.Clone(l), w)), w))
+	return p.forecast(now, r.Service, r.Homes, slices.Index(p.arrange(now, r.Service, append(slices.Clone(l), w)), w))
 }
--- a/internal/coordination/dispatch/fair_model_test.go
+++ b/internal/coordination/dispatch/fair_model_test.go
@@ -225,7 +225,7 @@
 func (w *contest) try(c *contestCaller) {
 	c.sent = w.now()
 	v := w.vm()
-	if n, after := w.ledger.Take(time.Now(), c.a.name, 1, c.a.limit); n == 0 {
+	if n, after := w.ledger.Take(time.Now(), c.a.name, 1, c.a.limit, 0); n == 0 {
 		if !c.limit {
 			c.limit = true
 			c.a.limited++
--- a/internal/transport/relay/standing.go
+++ b/internal/transport/relay/standing.go
@@ -17,5 +17,5 @@
 
 // forecastRequest returns what the forecast of the wait of a further attempt depends on.
 func (x *exchange) forecastRequest() dispatch.Request {
-	return dispatch.Request{Service: x.a.Service, Account: x.a.Account.Name, Priority: x.priority(), Latest: x.latestStart(), Size: x.r.runTimes.Mean(x.a.Route.Name)}
+	return dispatch.Request{Service: x.a.Service, Homes: x.a.Homes, Account: x.a.Account.Name, Priority: x.priority(), Latest: x.latestStart(), Size: x.r.runTimes.Mean(x.a.Route.Name)}
 }
