spillover: Decide which requests leave their data centre

Where contention handling is on, a request gets its data centre before its upstream: it stays while the free slots there suffice until their counts are renewed, and leaves when it would wait for longer than a round trip and min_gain_ms, at most as many as the others have room for, divided by the data centres with an excess and their entry VMs, by chance on parts of a slot.

The line "request placed" says why a request left; requests_placed counts by data centre, and spillover_fraction shows the part that left.

--- a/internal/command/node/contention.go
+++ b/internal/command/node/contention.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/pkg/errors"
@@ -10,6 +11,7 @@
 
 	"snipetack/internal/coordination/dispatch"
 	"snipetack/internal/coordination/fairness"
+	"snipetack/internal/coordination/spillover"
 	"snipetack/internal/state/plan"
 )
 
@@ -24,6 +26,9 @@
 	}
 	e.shares = fairness.New()
 	d.Fairness = e.shares
+	if err := e.startSpillover(d); err != nil {
+		return err
+	}
 	d.OnShed = func(reason string) {
 		shed.Add(context.Background(), 1, metric.WithAttributes(attribute.String("reason", reason)))
 	}
@@ -32,6 +37,42 @@
 	})
 }
 
+// startSpillover adds the decision on which requests leave the data centre.
+func (e *entry) startSpillover(d *dispatch.Deps) error {
+	placed, err := e.n.Telemetry.Meter().Int64Counter("requests_placed", metric.WithDescription("Slots that requests got, by data centre of the upstream: the same as this VM's or another."))
+	if err != nil {
+		return errors.Wrap(err, "creating the counter of requests by data centre")
+	}
+	s := e.n.Settings.Spillover
+	if s == (spillover.Settings{}) { // not read from a file
+		s = spillover.DefaultSettings()
+	}
+	c := spillover.New(s, spillover.Deps{
+		Peers: e.n.member.peersHere,
+		Age:   func() time.Duration { return loadInterval + e.n.member.loadAge() },
+		Rand:  rand.Float64,
+	})
+	same, other := metric.WithAttributes(attribute.String("data_centre", "same")), metric.WithAttributes(attribute.String("data_centre", "other"))
+	d.Spillover = c
+	d.OnPlaced = func(left bool) {
+		if left {
+			placed.Add(context.Background(), 1, other)
+		} else {
+			placed.Add(context.Background(), 1, same)
+		}
+	}
+	return e.n.registerGauges([]gauge{
+		{"spillover_fraction", "Part of this VM's requests that left its data centre in the last seconds.", func() float64 { return c.Fraction(time.Now()) }},
+	})
+}
+
+// peersHere returns about how many entry VMs this data centre has: the directory of a large fleet has only their number.
+func (m *member) peersHere() int {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.entriesLocked() / max(1, len(m.batchZonesLocked()))
+}
+
 // rates returns the rate limits of the accounts of a plan.
 func rates(p *plan.Plan) map[string]float64 {
 	m := make(map[string]float64, len(p.Accounts))
--- a/internal/command/node/settings.go
+++ b/internal/command/node/settings.go
@@ -9,6 +9,7 @@
 
 	"snipetack/internal/command/document"
 	"snipetack/internal/coordination/roster"
+	"snipetack/internal/coordination/spillover"
 )
 
 // Settings of one VM; addresses are ip:port.
@@ -37,7 +38,9 @@
 	QuotaSlack float64       // requests by which the fleet may exceed an account's burst
 	Retention  time.Duration // of finished jobs
 	Contracts  []string      // names of what the platform has agreed on with the deployment; the platform's adapter translates them
-	Contention bool          // slots are divided among the client accounts by their shares
+	Contention bool          // slots are divided among the client accounts by their shares, and requests leave their data centre by Spillover
+
+	Spillover spillover.Settings // in force with Contention
 }
 
 // Values of the setting "contention".
@@ -58,7 +61,7 @@
 // defaults returns the settings of a small fleet.
 func defaults() Settings {
 	return Settings{ListRate: 10, Losses: 1, Cores: 1, MemoryMB: 256, MaxFiles: 1024, Grace: 8 * time.Second,
-		QuotaSlack: 0, Retention: 10 * time.Minute}
+		QuotaSlack: 0, Retention: 10 * time.Minute, Spillover: spillover.DefaultSettings()}
 }
 
 // Decode reads and checks settings; the first problem found is returned as a document.Problem.
@@ -73,6 +76,7 @@
 	files := float64(s.MaxFiles)
 	cores := float64(s.Cores)
 	contention := contentionOff
+	minGain, roundTrip := milliseconds(s.Spillover.MinGain), milliseconds(s.Spillover.RoundTrip)
 	err = d.Root(map[string]document.Field{
 		"vm":         d.Text(&s.VM),
 		"class":      d.OneOf(&s.Class, string(roster.Entry), string(roster.Control), string(roster.Batch)),
@@ -103,9 +107,20 @@
 		"retention_s":   d.Number(&retention),
 		"contracts":     nullable(d.Texts(&s.Contracts)),
 		"contention":    d.OneOf(&contention, contentionOff, contentionOn),
+		"spillover": func(path string, v hujson.Value) {
+			d.Object(path, v, map[string]document.Field{
+				"min_gain_ms":   d.Number(&minGain),
+				"max_fraction":  d.Number(&s.Spillover.MaxFraction),
+				"round_trip_ms": d.Number(&roundTrip),
+			})
+			if f := s.Spillover.MaxFraction; f < 0 || f > 1 {
+				d.Fail(path+".max_fraction", "must be from 0 to 1")
+			}
+		},
 	}, "vm", "class", "ip", "first_port", "seeds")
 	s.Losses, s.Cores, s.MemoryMB, s.MaxFiles = int(losses), max(1, int(cores)), int(memory), int(files)
 	s.Contention = contention == contentionOn
+	s.Spillover.MinGain, s.Spillover.RoundTrip = seconds(minGain/1000), seconds(roundTrip/1000)
 	s.Grace, s.StaleAfter, s.Retention = seconds(grace), seconds(stale), seconds(retention)
 	return s, err
 }
@@ -130,6 +145,8 @@
 	}
 }
 
+func milliseconds(d time.Duration) float64 { return 1000 * d.Seconds() }
+
 func seconds(x float64) time.Duration {
 	return time.Duration(x * float64(time.Second))
 }
--- a/internal/command/node/settings_test.go
+++ b/internal/command/node/settings_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"snipetack/internal/command/node"
+	"snipetack/internal/coordination/spillover"
 )
 
 const file = `{
@@ -24,7 +25,7 @@
 	require.Equal(t, node.Settings{VM: "core-a-1", Class: "control", Zone: "a", IP: "10.0.0.1", FirstPort: 7660,
 		Seeds: []string{"10.0.0.1:8407"}, Bootstrap: true, Data: "/data/x", Operators: "10.0.0.1:8407", Metrics: "10.0.0.1:9464",
 		List: "10.9.0.1:80", ListRate: 40, Losses: 1, Cores: 1, MemoryMB: 280, MaxFiles: 4096, Grace: 8 * time.Second, QuotaSlack: 20,
-		Retention: 2 * time.Minute}, s)
+		Retention: 2 * time.Minute, Spillover: spillover.DefaultSettings()}, s)
 }
 
 // TestContentionIsOffUnlessSet guards against contention handling that takes effect where no setting enables it.
@@ -46,6 +47,20 @@
 	require.ErrorContains(t, err, "contention")
 }
 
+// TestSpilloverSettings guards against bounds of an operator that have no effect.
+func TestSpilloverSettings(t *testing.T) {
+	s, err := node.Decode("f", []byte(strings.TrimSuffix(file, "\n}")+`, "spillover": {"min_gain_ms": 20, "max_fraction": 0.25}}`))
+	require.NoError(t, err)
+	want := spillover.DefaultSettings()
+	want.MinGain, want.MaxFraction = 20*time.Millisecond, 0.25
+	require.Equal(t, want, s.Spillover)
+	s, err = node.Decode("f", []byte(strings.TrimSuffix(file, "\n}")+`, "spillover": {"round_trip_ms": 7.5}}`))
+	require.NoError(t, err)
+	require.Equal(t, 7500*time.Microsecond, s.Spillover.RoundTrip)
+	_, err = node.Decode("f", []byte(strings.TrimSuffix(file, "\n}")+`, "spillover": {"max_fraction": 25}}`))
+	require.ErrorContains(t, err, "max_fraction")
+}
+
 func TestDecodeErrorsNameFileAndKey(t *testing.T) {
 	table := map[string]struct{ from, to, want string }{
 		"unknown key": {`"losses"`, `"loses"`, "loses"},
--- a/internal/coordination/dispatch/fair.go
+++ b/internal/coordination/dispatch/fair.go
@@ -79,18 +79,18 @@
 // a request need not wait for that.
 func (p *Pool) pickFairly(now time.Time, r Request) *upstream {
 	if p.d.Fairness == nil {
-		return p.pick(now, r)
+		return p.place(now, r)
 	}
 	if !p.d.Fairness.Within(now, r.Service, r.Account) {
 		r.headroom = p.d.Fairness.WithinSlots(now, r.Service) / float64(max(1, len(p.services[r.Service])))
-		return p.pick(now, r)
+		return p.place(now, r)
 	}
-	u := p.pick(now, r)
+	u := p.place(now, r)
 	if m := p.urgencies[r.Service]; u != nil || r.Priority > m.priority && now.Sub(m.at) < urgencyExpires {
 		return u // beyond the slots, the engine would start it before a more urgent one that waits at another VM
 	}
 	r.overdraft = overdraft
-	return p.pick(now, r)
+	return p.place(now, r)
 }
 
 // slotsFor returns how many requests an upstream may have in flight once a request has a slot there.
--- a/internal/coordination/dispatch/pool.go
+++ b/internal/coordination/dispatch/pool.go
@@ -12,6 +12,7 @@
 
 	"snipetack/internal/coordination/fairness"
 	"snipetack/internal/coordination/roster"
+	"snipetack/internal/coordination/spillover"
 )
 
 // Policy of a Pool.
@@ -56,6 +57,8 @@
 
 	overdraft int     // slots that it may take beyond those of an upstream
 	headroom  float64 // part of the upstreams at which it leaves a slot free
+	inZone    bool    // only upstreams in zone are acceptable
+	zone      string
 }
 
 // Choice is an upstream with a slot taken for the request; Pool.End releases the slot.
@@ -68,6 +71,7 @@
 	Slots    int
 	Limited  bool    // the upstream names a limit: it gets no other request from here until Admitted or Limited
 	Ticket   uint64  // place in the queue
+	Left     string  // why the request leaves its data centre; "" when it stays, or without spillover
 	Standing float64 // what the account had got in relation to its share; 0 without fairness
 
 	service, account string        // to which the slot is charged; "" without fairness
@@ -128,6 +132,8 @@
 	Doubtful     func(id string) bool      // reports whether an upstream may have started again with another version; may be nil
 	OnPreemption func(Choice)              // called when a request takes a slot that a batch item has to release; must not block
 	Fairness     *fairness.Shares          // orders the requests of one priority by what their accounts have got; nil orders them by latest start alone
+	Spillover    *spillover.Controller     // decides which requests leave the data centre; nil adds zonePenalty to upstreams of others
+	OnPlaced     func(other bool)          // called with each slot that spillover decided on, with whether it is in another data centre; must not block; may be nil
 	OnShed       func(reason string)       // called when the fair queue refuses or closes a request; must not block; may be nil
 }
 
@@ -552,6 +558,7 @@
 		p.d.OnPreemption(c)
 	}
 	p.charge(now, r, &c)
+	p.notePlaced(now, u, r, &c)
 	return c
 }
 
@@ -646,6 +653,9 @@
 
 // eligible reports whether an upstream may take a request now and has a free slot; without Slots it has no limit.
 func (p *Pool) eligible(now time.Time, u *upstream, r Request) bool {
+	if r.inZone && u.Zone != r.zone {
+		return false
+	}
 	if u.Draining || now.Before(u.avoidUntil) || now.Before(u.limitedUntil) || u.asking {
 		return false
 	}
--- a/internal/transport/relay/exchange.go
+++ b/internal/transport/relay/exchange.go
@@ -175,7 +175,7 @@
 // logAttempt logs the upstream of an attempt with the values that determined it.
 func (x *exchange) logAttempt(c dispatch.Choice) {
 	x.r.d.Log.Info("request placed", append([]any{"request", x.a.ID, "account", x.a.Account.Name, "route", x.a.Route.Name, "configuration", x.a.Version,
-		"attempt", x.attempts, "upstream", c.ID, "software", c.Version, "load", c.Load, "slots", c.Slots, "event", x.lastEvent, "takes_up", x.a.TakesUp, "waited", x.slotTaken.Sub(x.a.Arrived)}, x.standing(c.Standing)...)...)
+		"attempt", x.attempts, "upstream", c.ID, "software", c.Version, "load", c.Load, "slots", c.Slots, "event", x.lastEvent, "takes_up", x.a.TakesUp, "waited", x.slotTaken.Sub(x.a.Arrived)}, x.contention(c)...)...)
 }
 
 // doubtful reports whether an upstream may have started again, with another version of its software, since the list was read.
@@ -537,8 +537,7 @@
 		x.s.Abort()
 		return
 	}
-	standing, _ := x.r.d.Pool.Standing(time.Now(), x.a.Service, x.a.Account.Name)
-	x.r.refuse(x.a.Request, x.a.Route.Kind.String(), x.s, x.failure(ctx), x.standing(standing)...)
+	x.r.refuse(x.a.Request, x.a.Route.Kind.String(), x.s, x.failure(ctx), x.refusedStanding()...)
 }
 
 // failure returns the error for the caller. It states that the request has not run unless an upstream may have run it.
