--- a/internal/command/node/settings.go
+++ b/internal/command/node/settings.go
@@ -41,7 +41,7 @@
 	Contention bool          // slots are divided among the client accounts by their shares, and requests leave their data centre by Spillover
 
 	Spillover spillover.Settings // in force with Contention
-	Zones map[string]string // region of each data centre; nil if the settings don't name them
+	Zones     map[string]string  // region of each data centre; nil if the settings don't name them
 }
 
 // Values of the setting "contention".
