evacuation: Keep revisions above those of a group that has lost its state

After a rollback of the control group to a build that does not keep evacuations, revisions began at 1 again. VMs that still had a higher one would have ignored every order that was acknowledged from then on.

An order carries its time, and a revision is at least that.

--- a/internal/command/node/evacuate.go
+++ b/internal/command/node/evacuate.go
@@ -40,7 +40,7 @@
 func (c *control) settleEvacuation(ctx context.Context, zone string, end bool) error {
 	s, newest := c.machine.State(), false
 	for range maxOrderSteps {
-		v, command, refusal := evacuation.Decide(s, c.n.member.site(), zone, end)
+		v, command, refusal := evacuation.Decide(time.Now(), s, c.n.member.site(), zone, end)
 		if v == evacuation.Propose {
 			r, err := c.commit(ctx, command)
 			if err != nil {
--- a/internal/coordination/evacuation/evacuation_test.go
+++ b/internal/coordination/evacuation/evacuation_test.go
@@ -44,10 +44,10 @@
 	}
 	for _, c := range table {
 		t.Run(c.name, func(t *testing.T) {
-			v, m, f := evacuation.Decide(c.s, c.site, c.zone, c.end)
+			v, m, f := evacuation.Decide(time.UnixMilli(7), c.s, c.site, c.zone, c.end)
 			require.Equal(t, c.verdict, v)
 			if c.verdict == evacuation.Propose {
-				require.Equal(t, plan.EvacuationOrder{Zone: c.zone, End: c.end, Base: c.base}, m.Evacuation)
+				require.Equal(t, plan.EvacuationOrder{Zone: c.zone, End: c.end, Base: c.base, At: 7}, m.Evacuation)
 			}
 			if c.code != 0 {
 				require.Equal(t, c.code, f.Code)
--- a/internal/coordination/evacuation/order.go
+++ b/internal/coordination/evacuation/order.go
@@ -1,6 +1,8 @@
 package evacuation
 
 import (
+	"time"
+
 	"snipetack/internal/state/plan"
 	"snipetack/internal/state/result"
 )
@@ -25,7 +27,7 @@
 
 // Decide returns what an order to start or end the evacuation of a data centre requires, and the command to commit or why it isn't. Each verdict but
 // Propose is final only if s is the newest committed state; a command from an older one is superseded.
-func Decide(s plan.State, site Site, zone string, end bool) (Verdict, plan.Command, *result.Failure) {
+func Decide(now time.Time, s plan.State, site Site, zone string, end bool) (Verdict, plan.Command, *result.Failure) {
 	e, ok := s.Evacuation(zone)
 	switch {
 	case ok && e.Ended == end:
@@ -39,5 +41,5 @@
 	case !s.EvacuationsSupported || !site.Supported:
 		return Later, plan.Command{}, result.New(result.BuildTooOld, "a member of the control group may run a build that does not support evacuations")
 	}
-	return Propose, plan.Command{Evacuation: plan.EvacuationOrder{Zone: zone, End: end, Base: e.Revision}}, nil
+	return Propose, plan.Command{Evacuation: plan.EvacuationOrder{Zone: zone, End: end, Base: e.Revision, At: uint64(max(0, now.UnixMilli()))}}, nil
 }
--- a/internal/state/plan/evacuation.go
+++ b/internal/state/plan/evacuation.go
@@ -29,6 +29,9 @@
 	// Base is the Evacuation.Revision that the order was made at, 0 where there was none. An order that arrives late, after its repetition
 	// was acknowledged and a newer order too, must not change anything.
 	Base uint64
+	// At is when the order was given, in Unix ms. Revisions are at least this high, so that those of a group that has lost its state, to a build
+	// that does not keep it, are above the ones that VMs still have.
+	At uint64
 }
 
 // Evacuation returns the evacuation of a data centre; it is false when there was none.
@@ -50,7 +53,7 @@
 		return true
 	}
 	l := slices.DeleteFunc(slices.Clone(s.Evacuations), func(e Evacuation) bool { return e.Zone == o.Zone })
-	s.EvacuationRevision++
+	s.EvacuationRevision = max(s.EvacuationRevision+1, o.At)
 	l = append(l, Evacuation{Zone: o.Zone, Ended: o.End, Revision: s.EvacuationRevision})
 	if len(l) > maxEvacuations {
 		if i := slices.IndexFunc(l, func(e Evacuation) bool { return e.Ended }); i >= 0 {
@@ -98,6 +101,7 @@
 		e.Text(1, o.Zone)
 		e.Bool(2, o.End)
 		e.Uint(3, o.Base)
+		e.Uint(4, o.At)
 	})
 }
 
@@ -112,6 +116,8 @@
 			o.End = d.Bool()
 		case 3:
 			o.Base = d.Uint()
+		case 4:
+			o.At = d.Uint()
 		}
 	}
 	p.Fail(d.Err())
--- a/internal/state/plan/evacuation_test.go
+++ b/internal/state/plan/evacuation_test.go
@@ -34,6 +34,15 @@
 	require.Equal(t, want, d.State())
 }
 
+// TestRevisionsGoOnAfterALossOfState guards against VMs that ignore all orders of a group which has lost its state, as they have a higher revision.
+func TestRevisionsGoOnAfterALossOfState(t *testing.T) {
+	c := plan.NewControl(func(plan.State) {})
+	for i, o := range []plan.EvacuationOrder{{Zone: "a", At: 1000}, {Zone: "b", At: 900}, {Zone: "c", At: 2000}} {
+		c.Apply(0, plan.EncodeCommand(plan.Command{Evacuation: o}))
+		require.Equal(t, []uint64{1000, 1001, 2000}[i], c.State().EvacuationRevision)
+	}
+}
+
 // TestEvacuationsAreBounded guards against a state that grows with every data centre that ever was evacuated.
 func TestEvacuationsAreBounded(t *testing.T) {
 	c := plan.NewControl(func(plan.State) {})
