warmup: Keep cold upstreams within their rate over all VMs

An upstream that starts under traffic takes only coldRateS requests a second for a while and crashes far above that. Nothing bounded what all VMs send it together: in the fleet test engines of 4 a second got 12 to 34 in a second, where 11 are allowed.

Package warmup decides which upstreams are cold, by the newest word of the list (with its lag) and of responses, and by restarts, new entries and the end of an evacuation (hook member.Returned) until a list shows the time after. What a response or a restart shows goes to all VMs. The limit of an upstream is the lower one of what it names and its cold rate, admitted by the ledger of the leading control VM; VMs that can't reach it send a tenth at random times. Items get what online requests leave. Refused requests are told to come back one after the other. Services without coldRateS are served as before.

The packages of coordination, node, relay, batchrun and platform (without TestSoak and TestRushOnALargeFleet) pass.

--- a/internal/command/node/control.go
+++ b/internal/command/node/control.go
@@ -326,10 +326,13 @@
 		return nil, err
 	}
 	s := c.machine.State()
+	m := c.n.member
+	m.adoptCold(r.Cold)
 	x, ok := c.lead(r, s)
 	if !ok {
 		x = c.follow(r, s)
 	}
+	x.Cold = m.warmup.Words(time.Now())
 	if err := c.packer.Pack(r, &x); err != nil {
 		c.n.Log.Error("configuration sent uncompressed", "error", err)
 	}
--- a/internal/command/node/leader_load.go
+++ b/internal/command/node/leader_load.go
@@ -20,6 +20,7 @@
 	loadConsensus loadKind = iota
 	loadReport
 	loadQuota
+	loadLimit
 	loadKinds // their number
 )
 
@@ -79,7 +80,8 @@
 	l.log.Info("leader load", "state", state, "led", now.Sub(l.ledSince), "span", d, "longest_gap", l.longestGap,
 		"consensus", x[loadConsensus].messages, "consensus_bytes", x[loadConsensus].bytes, "consensus_time", x[loadConsensus].time,
 		"reports", x[loadReport].messages, "report_bytes", x[loadReport].bytes, "report_time", x[loadReport].time,
-		"quota_calls", x[loadQuota].messages, "quota_time", x[loadQuota].time)
+		"quota_calls", x[loadQuota].messages, "quota_time", x[loadQuota].time,
+		"limit_calls", x[loadLimit].messages, "limit_time", x[loadLimit].time)
 	l.loggedAt, l.longestGap = now, 0
 }
 
--- a/internal/command/node/measure.go
+++ b/internal/command/node/measure.go
@@ -47,6 +47,7 @@
 		})},
 		{"upstreams", "Upstreams on the list.", locked(func() float64 { return float64(len(m.upstreams)) })},
 		{"quarantines", "Quarantines of prompts in force here.", func() float64 { return float64(m.quarantines.Len()) }},
+		{"cold_upstreams", "Cold upstreams whose service has a cold rate.", func() float64 { return float64(m.cold.Load()) }},
 		{"limited_upstreams", "Upstreams that name a limit.", func() float64 { return float64(m.limits.Len()) }},
 		{"upstream_crashes", "Ends of upstreams that broke off responses here.", func() float64 { return float64(m.crashes.Total()) }},
 		{"vms", "VMs in the directory.", locked(func() float64 { return float64(len(m.vms)) })},
--- a/internal/command/node/member.go
+++ b/internal/command/node/member.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -23,6 +24,7 @@
 	"snipetack/internal/coordination/roster"
 	"snipetack/internal/coordination/share"
 	"snipetack/internal/coordination/throttle"
+	"snipetack/internal/coordination/warmup"
 	"snipetack/internal/state/plan"
 	"snipetack/internal/transport/link"
 	"snipetack/internal/transport/relay"
@@ -63,6 +65,7 @@
 	onList           func([]roster.Upstream) // called with each new list of upstreams; may be nil
 	groupMembers     func() []string         // addresses of the control group's members; nil except on control VMs
 	sharesReportedAt time.Time               // used by the reporting goroutine only, without mu
+	askedAt          time.Time               // when the last report was sent; used by the reporting goroutine only
 	sharesSentAt     time.Time               // when the last report that requested shares was sent; used by the reporting goroutine only
 	sharesRequested  bool                    // by the report that is under way; used by the reporting goroutine only
 	quarantines      *quarantine.List
@@ -70,6 +73,7 @@
 	restarts         *restart.Table
 	history          *origin.History // of the versions of services
 	departures       *departure.Table
+	warmup           *warmup.Table
 	limits           *throttle.Table                 // of upstreams
 	onLimits         func(limits map[string]float64) // called with all limits of upstreams when one has changed; may be nil
 	wake             chan struct{}                   // capacity 1; requests a report before the interval is over
@@ -80,7 +84,9 @@
 	directAt         time.Time     // when the next report to the leader of a large fleet is due; used by the reporting goroutine only
 	contactRetry     time.Duration // used by the reporting goroutine only
 
-	publishing sync.Mutex // held while usable changes and onList runs, so that an older list never replaces a newer one
+	publishing sync.Mutex   // held while usable or the limits change and onList or onLimits runs, so that an older list never replaces a newer one
+	coldLog    coldLog      // guarded by publishing
+	cold       atomic.Int64 // upstreams that count as cold
 
 	mu             sync.RWMutex
 	mirror         *roster.Mirror // of the leader's bulletins; nil except on control VMs
@@ -92,6 +98,7 @@
 	vmsTag         uint64               // of vms; 0 before the first directory
 	batchListed    map[string]time.Time // until when a batch VM was in vms that is not any more, by address
 	upstreams      []roster.Upstream    // as listed
+	coldCache      *coldRates           // nil before the first look
 	usable         []roster.Upstream    // upstreams, of which those that announced that they leave are draining
 	listTag        uint64               // of upstreams; 0 before the first list
 	listRead       time.Time            // when upstreams was read, by this VM's clock
@@ -112,13 +119,10 @@
 func newMember(n *Node, vm roster.VM) *member {
 	m := &member{n: n, vm: vm, incarnation: time.Now().UnixNano(), failedAt: map[string]time.Time{}, staleUntil: map[string]time.Time{}, quarantines: quarantine.NewList(), history: origin.NewHistory(), batchListed: map[string]time.Time{},
 		departures: departure.NewTable(), wake: make(chan struct{}, 1)}
-	m.limits = throttle.NewTable(func(l map[string]float64) {
-		if m.onLimits != nil {
-			m.onLimits(l)
-		}
-	})
+	m.limits = throttle.NewTable(func(map[string]float64) { m.publishLimits() })
 	m.crashes = quarantine.NewTracker(m.upstreamCrashed)
-	m.restarts = restart.New()
+	m.restarts = restart.New(m.upstreamBack)
+	m.warmup = warmup.New(n.Settings.ListLag, m.restarts.Doubtful)
 	if vm.Class == roster.Control {
 		m.mirror = &roster.Mirror{}
 	}
@@ -559,7 +563,7 @@
 	}
 	due := !time.Now().Before(m.directAt)
 	r := m.newReport(due || !m.mirrored())
-	news := len(r.Crashes)+len(r.Cleared)+len(r.Matched)+len(r.Limits) > 0 || r.Leads
+	news := len(r.Crashes)+len(r.Cleared)+len(r.Matched)+len(r.Limits)+len(r.Cold) > 0 || r.Leads
 	from = m.target(at, due || news)
 	b, err = m.call(ctx, from, roster.EncodeReport(r))
 	if b.Leads {
@@ -631,7 +635,7 @@
 // shares when these are due.
 func (m *member) newReport(shares bool) roster.Report {
 	r := roster.Report{VM: m.vm, Incarnation: m.incarnation, Unpacks: true, PatchesLists: true}
-	m.sharesRequested = false
+	m.sharesRequested, m.askedAt = false, time.Now()
 	m.mu.RLock()
 	r.DirectoryTag, r.ListTag = m.vmsTag, m.listTag
 	if m.plan != nil {
@@ -654,6 +658,7 @@
 	r.Crashes, m.sentCrash = m.crashes.Reports(m.reportedCrash)
 	r.Cleared = m.crashes.Clearances()
 	r.Limits = m.limits.TakeChanged()
+	r.Cold = m.warmup.TakeNews(time.Now())
 	return r
 }
 
@@ -696,6 +701,7 @@
 	entries := m.entriesLocked()
 	p := m.plan
 	m.mu.Unlock()
+	m.observeCold(read.Add(-now.Sub(m.askedAt)), l, b.Cold) // the list may be older by the time that the response took
 	if changed {
 		m.listChanged(l)
 	}
@@ -817,6 +823,7 @@
 	if b.Epoch != m.reportedEpoch {
 		m.reportedEpoch, m.reportedCrash = b.Epoch, 0
 		m.limits.ReportAll()
+		m.warmup.ReportAll()
 		m.sharesReportedAt = time.Time{} // the new leader withholds shares that it does not know
 		m.requestReport()
 		return
@@ -862,6 +869,7 @@
 	m.upstreams, m.listTag, m.listRead = l, t, read
 	m.history.Observe(l, read)
 	m.mu.Unlock()
+	m.observeCold(read, l, nil)
 	if changed {
 		m.listChanged(l)
 	}
--- a/internal/command/node/quota_test.go
+++ b/internal/command/node/quota_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"snipetack/internal/coordination/share"
+	"snipetack/internal/coordination/throttle"
 )
 
 // TestAdmissionsSurviveTheWire guards against a field that one side writes and the other does not read.
@@ -17,3 +18,11 @@
 	require.NoError(t, err)
 	require.Equal(t, m, got)
 }
+
+// TestUpstreamAdmissionSurvivesTheWire is the same for admissions to upstreams.
+func TestUpstreamAdmissionSurvivesTheWire(t *testing.T) {
+	a := admission{limit: throttle.Limit{Upstream: "u", Rate: 2, Age: time.Second}, batch: true, admitted: true, wait: time.Minute, cold: 17, coldSeen: true}
+	got, err := decodeAdmission(encodeAdmission(a))
+	require.NoError(t, err)
+	require.Equal(t, a, got)
+}
--- a/internal/command/node/settings.go
+++ b/internal/command/node/settings.go
@@ -17,20 +17,21 @@
 	Class      string // a roster.Class
 	Zone       string
 	IP         string
-	BindIP     string   // to listen on for links of other VMs; "" is IP
-	FirstPort  int      // of three ports for links between VMs, one for each class
-	Seeds      []string // control VMs, at the ports that operators call
-	Bootstrap  bool     // the whole fleet starts for the first time
-	Data       string   // data folder; "" on a VM without a disk
-	Callers    string   // to listen on; entry VMs
-	Ready      string   // to listen on for the load balancer's checks; "" serves none; entry VMs
-	Operators  string   // to listen on; "" serves none; control VMs
-	Metrics    string   // to listen on; "" serves none
-	List       string   // address of the list of upstreams
-	ListRate   float64  // calls per second that the list accepts from the whole fleet
-	Losses     int      // VMs with a disk that may be lost at the same time
-	Cores      int      // that the Go runtime uses at the same time, at least one
-	MemoryMB   int      // memory of the VM in MiB
+	BindIP     string        // to listen on for links of other VMs; "" is IP
+	FirstPort  int           // of three ports for links between VMs, one for each class
+	Seeds      []string      // control VMs, at the ports that operators call
+	Bootstrap  bool          // the whole fleet starts for the first time
+	Data       string        // data folder; "" on a VM without a disk
+	Callers    string        // to listen on; entry VMs
+	Ready      string        // to listen on for the load balancer's checks; "" serves none; entry VMs
+	Operators  string        // to listen on; "" serves none; control VMs
+	Metrics    string        // to listen on; "" serves none
+	List       string        // address of the list of upstreams
+	ListRate   float64       // calls per second that the list accepts from the whole fleet
+	ListLag    time.Duration // by which the list may lag behind its upstreams
+	Losses     int           // VMs with a disk that may be lost at the same time
+	Cores      int           // that the Go runtime uses at the same time, at least one
+	MemoryMB   int           // memory of the VM in MiB
 	MaxFiles   int
 	Grace      time.Duration // after which a stopped process is killed
 	StaleAfter time.Duration // a configuration that the leading control VM has not confirmed for longer is not used; 0 is no limit
@@ -63,7 +64,7 @@
 	grace, stale, retention := s.Grace.Seconds(), 0.0, s.Retention.Seconds()
 	losses, memory := float64(s.Losses), float64(s.MemoryMB)
 	files := float64(s.MaxFiles)
-	cores := float64(s.Cores)
+	cores, lag := float64(s.Cores), 0.0
 	err = d.Root(map[string]document.Field{
 		"vm":         d.Text(&s.VM),
 		"class":      d.OneOf(&s.Class, string(roster.Entry), string(roster.Control), string(roster.Batch)),
@@ -82,6 +83,7 @@
 			d.Object(path, v, map[string]document.Field{
 				"address":    d.Text(&s.List),
 				"rate_per_s": d.Number(&s.ListRate),
+				"lag_ms":     d.Number(&lag),
 			}, "address")
 		},
 		"losses":        d.Number(&losses),
@@ -94,6 +96,7 @@
 		"retention_s":   d.Number(&retention),
 	}, "vm", "class", "ip", "first_port", "seeds")
 	s.Losses, s.Cores, s.MemoryMB, s.MaxFiles = int(losses), max(1, int(cores)), int(memory), int(files)
+	s.ListLag = seconds(lag / 1000)
 	s.Grace, s.StaleAfter, s.Retention = seconds(grace), seconds(stale), seconds(retention)
 	return s, err
 }
--- a/internal/command/node/settings_test.go
+++ b/internal/command/node/settings_test.go
@@ -27,6 +27,13 @@
 		Retention: 2 * time.Minute}, s)
 }
 
+// TestListLagIsOptional guards against a platform that names no lag.
+func TestListLagIsOptional(t *testing.T) {
+	s, err := node.Decode("f", []byte(strings.Replace(file, `"rate_per_s": 40.0`, `"rate_per_s": 40.0, "lag_ms": 800`, 1)))
+	require.NoError(t, err)
+	require.Equal(t, 800*time.Millisecond, s.ListLag)
+}
+
 func TestDecodeErrorsNameFileAndKey(t *testing.T) {
 	table := map[string]struct{ from, to, want string }{
 		"unknown key": {`"losses"`, `"loses"`, "loses"},
--- a/internal/coordination/restart/table.go
+++ b/internal/coordination/restart/table.go
@@ -14,6 +14,8 @@
 
 // Table holds the upstreams in doubt; it is safe for concurrent use.
 type Table struct {
+	onBack func(now time.Time, id string)
+
 	mu     sync.Mutex
 	doubts map[string]*doubt // by upstream id
 }
@@ -24,8 +26,10 @@
 	backAt  time.Time // when it responded to a request that was sent since; zero before
 }
 
-// New returns a Table without doubts.
-func New() *Table { return &Table{doubts: map[string]*doubt{}} }
+// New returns a Table without doubts. It calls onBack, which must not block, when an upstream whose connections broke responds again.
+func New(onBack func(now time.Time, id string)) *Table {
+	return &Table{onBack: onBack, doubts: map[string]*doubt{}}
+}
 
 // Broke records that the connection of a request to an upstream ended early, or could not be made.
 func (t *Table) Broke(now time.Time, id string) {
@@ -40,6 +44,13 @@
 // Responded records bytes of the response to a request that was sent to an upstream at a time. An upstream that goes on with an earlier
 // response has not started again.
 func (t *Table) Responded(now time.Time, id string, sent time.Time) {
+	if t.back(now, id, sent) {
+		t.onBack(now, id)
+	}
+}
+
+// back records a response and reports whether the upstream is back with it.
+func (t *Table) back(now time.Time, id string, sent time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	d := t.doubts[id]
@@ -48,10 +59,12 @@
 	case !sent.Before(d.brokeAt):
 		if d.backAt.IsZero() {
 			d.backAt = now
+			return true
 		}
 	case sent.Before(d.brokeAt.Add(-settle)) && now.Sub(d.brokeAt) > settle:
 		delete(t.doubts, id)
 	}
+	return false
 }
 
 // Listed records when the list in use was read.
--- a/internal/coordination/restart/table_test.go
+++ b/internal/coordination/restart/table_test.go
@@ -13,7 +13,7 @@
 func TestUpstreamIsDoubtfulUntilANewerListShowsIt(t *testing.T) {
 	began := time.Now()
 	at := func(ms int) time.Time { return began.Add(time.Duration(ms) * time.Millisecond) }
-	x := restart.New()
+	x := restart.New(func(time.Time, string) {})
 	require.False(t, x.Doubtful("i-0"))
 	x.Broke(at(0), "i-0")
 	require.True(t, x.Doubtful("i-0"))
@@ -31,7 +31,7 @@
 
 func TestUpstreamThatGoesOnHasNotStartedAgain(t *testing.T) {
 	now := time.Now()
-	x := restart.New()
+	x := restart.New(func(time.Time, string) {})
 	sent := now.Add(-time.Second)
 	x.Broke(now, "i-0")
 	x.Responded(now.Add(50*time.Millisecond), "i-0", sent)
@@ -44,7 +44,7 @@
 
 func TestUnusedUpstreamIsTakenAsListedInTheEnd(t *testing.T) {
 	now := time.Now()
-	x := restart.New()
+	x := restart.New(func(time.Time, string) {})
 	x.Broke(now, "i-0")
 	x.Listed(now.Add(5 * time.Second))
 	require.True(t, x.Doubtful("i-0"))
@@ -54,7 +54,7 @@
 
 func TestDoubtsAreBounded(t *testing.T) {
 	now := time.Now()
-	x := restart.New()
+	x := restart.New(func(time.Time, string) {})
 	for i := range 10_000 {
 		x.Broke(now, fmt.Sprint("i-", i))
 	}
--- a/internal/coordination/roster/codec.go
+++ b/internal/coordination/roster/codec.go
@@ -3,6 +3,7 @@
 import (
 	"snipetack/internal/coordination/quarantine"
 	"snipetack/internal/coordination/throttle"
+	"snipetack/internal/coordination/warmup"
 	"snipetack/internal/state/plan"
 	"snipetack/internal/state/wire"
 )
@@ -36,6 +37,7 @@
 	e.Bool(17, r.Unpacks)
 	e.Bool(18, r.PatchesLists)
 	e.Bool(19, r.Apart)
+	encodeCold(e, 21, r.Cold)
 	return e.Encoded()
 }
 
@@ -83,6 +85,8 @@
 			r.PatchesLists = d.Bool()
 		case 19:
 			r.Apart = d.Bool()
+		case 21:
+			r.Cold = append(r.Cold, decodeCold(d))
 		}
 	}
 	return r, d.Err()
@@ -123,6 +127,7 @@
 	e.Bytes(26, b.Packed)
 	e.Uint(27, b.ListBase)
 	e.Texts(28, b.Removed)
+	encodeCold(e, 33, b.Cold)
 	return e.Encoded()
 }
 
@@ -178,6 +183,8 @@
 			b.Age = d.Duration()
 		case 26:
 			b.Packed = d.Bytes()
+		case 33:
+			b.Cold = append(b.Cold, decodeCold(d))
 		default:
 			decodeList(&b, f, d)
 		}
@@ -391,6 +398,36 @@
 	return l
 }
 
+func encodeCold(e *wire.Encoder, field int, l []warmup.Word) {
+	for _, x := range l {
+		e.Record(field, func(e *wire.Encoder) {
+			e.Text(1, x.Upstream)
+			e.Duration(2, x.Age)
+			e.Duration(3, x.Left)
+			e.Bool(4, x.Event)
+		})
+	}
+}
+
+func decodeCold(p *wire.Decoder) warmup.Word {
+	var w warmup.Word
+	d := p.Record()
+	for f, ok := d.Next(); ok; f, ok = d.Next() {
+		switch f {
+		case 1:
+			w.Upstream = d.Text()
+		case 2:
+			w.Age = d.Duration()
+		case 3:
+			w.Left = d.Duration()
+		case 4:
+			w.Event = d.Bool()
+		}
+	}
+	p.Fail(d.Err())
+	return w
+}
+
 func encodeFloats(e *wire.Encoder, field int, m map[string]float64) {
 	for k, v := range m {
 		e.Record(field, func(e *wire.Encoder) {
--- a/internal/coordination/roster/roster.go
+++ b/internal/coordination/roster/roster.go
@@ -172,10 +172,13 @@
 // Shares returns the owner of the accounts' limits.
 func (r *Roster) Shares() *share.Owner { return r.shares }
 
-// Admit decides on a request to an upstream with a limit, as the sending VM knows it, or returns how long to wait until one may
+// Admit decides on a request to an upstream with a limit, as the sending VM knows it, or a cold rate above zero, or returns how long to wait until one may
 // be admitted.
-func (r *Roster) Admit(now time.Time, l throttle.Limit, batch bool) (ok bool, wait time.Duration) {
-	r.limits.Observe(now, []throttle.Limit{l})
+func (r *Roster) Admit(now time.Time, l throttle.Limit, cold float64, batch bool) (ok bool, wait time.Duration) {
+	if l.Rate > 0 {
+		r.limits.Observe(now, []throttle.Limit{l})
+	}
+	r.limits.SetCold(now, l.Upstream, cold)
 	return r.limits.Take(now, l.Upstream, batch)
 }
 
--- a/internal/coordination/roster/roster_test.go
+++ b/internal/coordination/roster/roster_test.go
@@ -10,6 +10,7 @@
 	"snipetack/internal/coordination/quarantine"
 	"snipetack/internal/coordination/roster"
 	"snipetack/internal/coordination/throttle"
+	"snipetack/internal/coordination/warmup"
 	"snipetack/internal/state/plan"
 	"snipetack/internal/state/result"
 )
@@ -19,7 +20,8 @@
 }
 
 func TestReportAndBulletinRoundTrip(t *testing.T) {
-	r := roster.Report{VM: vm(roster.Entry, 1, "a"), Incarnation: 7, Version: 3, DirectoryTag: 1 << 63, ListTag: 5,
+	cold := []warmup.Word{{Upstream: "u", Age: time.Second, Left: time.Minute}, {Upstream: "v", Event: true}}
+	r := roster.Report{Apart: true, Cold: cold, VM: vm(roster.Entry, 1, "a"), Incarnation: 7, Version: 3, DirectoryTag: 1 << 63, ListTag: 5,
 		Shares: map[string]float64{"x": 0.25}, Demand: map[string]float64{"x": 3}, Leads: true, Members: []string{"m"}, QuarantineRevision: 2, Unpacks: true, PatchesLists: true,
 		Crashes: []quarantine.Crash{{Upstream: "u", Age: time.Second, Observed: 30, Sound: []quarantine.SegmentCount{{Segment: "a", Count: 3}},
 			Suspects: []quarantine.Suspect{{Begun: true, Segments: []string{"a", "p"}}, {Segments: []string{"b"}}}}},
@@ -28,7 +30,7 @@
 	d, err := roster.DecodeReport(roster.EncodeReport(r))
 	require.NoError(t, err)
 	require.Equal(t, r, d)
-	b := roster.Bulletin{Leader: "l", Leads: true, Version: 9, Document: []byte("{}"), DirectoryTag: 4, VMs: []roster.VM{r.VM},
+	b := roster.Bulletin{Cold: cold, Leader: "l", Leads: true, Version: 9, Document: []byte("{}"), DirectoryTag: 4, VMs: []roster.VM{r.VM},
 		ListTag: 6, ListBase: 5, Removed: []string{"r"}, Upstreams: []roster.Upstream{{ID: "i", Service: "s", Address: "a", Zone: "z", Slots: 8, Draining: true, Cold: time.Second}},
 		ListAge: time.Minute, InitialMembers: []string{"f"}, Leaving: []string{"g"}, Shares: map[string]float64{"x": 1}, BatchLeader: "bl",
 		BatchMembers: []string{"bm"}, Controls: []string{"c"}, Epoch: 77, QuarantineRevision: 4,
--- a/internal/coordination/roster/types.go
+++ b/internal/coordination/roster/types.go
@@ -5,6 +5,7 @@
 
 	"snipetack/internal/coordination/quarantine"
 	"snipetack/internal/coordination/throttle"
+	"snipetack/internal/coordination/warmup"
 	"snipetack/internal/state/plan"
 )
 
@@ -46,6 +47,7 @@
 	Matched               []string           // keys of the quarantines that held prompts back lately
 	Cleared               []quarantine.Clearance
 	Limits                []throttle.Limit // that upstreams named here lately
+	Cold                  []warmup.Word    // on upstreams that are cold or were, seen here lately
 }
 
 // Bulletin is a control VM's response to a Report; parts that the reporter has already are left out.
@@ -77,6 +79,7 @@
 
 	QuarantineRevision uint64 // of Quarantines; 0 where the reporter has them
 	Quarantines        []plan.Quarantine
+	Cold               []warmup.Word    // on upstreams that are cold or were
 	Limits             []throttle.Limit // that upstreams named, also those that ended lately
 	Suspects           []string         // prompt segments that may crash upstreams; the VMs report sound responses to them
 }
--- a/internal/coordination/throttle/pacer.go
+++ b/internal/coordination/throttle/pacer.go
@@ -19,6 +19,7 @@
 const (
 	validTime     = 500 * time.Millisecond // for which a VM may use its turn; afterwards it draws another one
 	pacedFraction = 0.5                    // of a limit; turns of many VMs come together by chance
+	coldFraction  = 0.1                    // of the rate of a cold upstream, as the ledger may grant the whole rate to VMs that reach it; with 0.2 a second came to 30 requests of 30.5
 )
 
 // NewPacer returns a Pacer that draws its turns by random, which returns numbers from 0 to 1.
@@ -31,7 +32,11 @@
 func (p *Pacer) Take(now time.Time, l Limit, vms int) (ok bool, wait time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	interval := float64(max(1, vms)) / (pacedFraction * max(minRate, l.Rate)) * float64(time.Second)
+	fraction := pacedFraction
+	if l.Cold {
+		fraction = coldFraction
+	}
+	interval := float64(max(1, vms)) / (fraction * max(minRate, l.Rate)) * float64(time.Second)
 	next, known := p.next[l.Upstream]
 	switch {
 	case !known || now.Sub(next) > validTime:
--- a/internal/coordination/throttle/table.go
+++ b/internal/coordination/throttle/table.go
@@ -13,6 +13,7 @@
 	Upstream string        // id
 	Rate     float64       // requests per second from all VMs together; 0 when the response named none
 	Age      time.Duration // of the response
+	Cold     bool          // Rate is that of a cold upstream, which the VM knows without a response
 }
 
 // Table holds the newest limit of each upstream that has named one; it is safe for concurrent use.
@@ -59,6 +60,13 @@
 	return Limit{Upstream: upstream, Rate: k.rate, Age: time.Since(k.at)}, true
 }
 
+// InForce returns the limits in force in requests per second, by upstream id.
+func (t *Table) InForce() map[string]float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.inForce()
+}
+
 // Len returns the number of upstreams with a limit.
 func (t *Table) Len() int {
 	t.mu.Lock()
--- a/internal/state/plan/plan.go
+++ b/internal/state/plan/plan.go
@@ -64,10 +64,11 @@
 // Service is a pool of upstreams.
 type Service struct {
 	Name     string
-	Health   string // path of the health check
-	MaxConns int    // max connections to one upstream, from all callers together
-	Slots    int    // requests that a model engine runs concurrently; 0 for plain services
-	Memory   int    // tokens that fit into one model engine, of prompts and responses; 0 if unknown
+	Health   string  // path of the health check
+	MaxConns int     // max connections to one upstream, from all callers together
+	Slots    int     // requests that a model engine runs concurrently; 0 for plain services
+	ColdRate float64 // requests per second that an upstream takes while it is cold; 0 is no limit
+	Memory   int     // tokens that fit into one model engine, of prompts and responses; 0 if unknown
 }
 
 // Account is a client account.
--- a/internal/transport/batchrun/carry.go
+++ b/internal/transport/batchrun/carry.go
@@ -34,6 +34,20 @@
 	return &relay.Request{ID: i.ID, Method: http.MethodPost, Host: host, Path: i.Path, Target: i.Path, Header: h, Body: i.Body}
 }
 
+// observe records what a response says of its upstream.
+func (r *Runner) observe(upstream string, a *relay.Response) {
+	if a.AddressReassigned { // another upstream has responded
+		return
+	}
+	r.d.Limits.Observe(upstream, a.Limit)
+	if a.NamesCold {
+		r.d.Limits.ObserveCold(upstream, a.Cold)
+	}
+	if a.Leaving {
+		r.d.Departures.Observe(upstream)
+	}
+}
+
 // runItem sends an item to an upstream and appends the events of its response to those of earlier runs in t. A run whose
 // upstream sends no data for gapTimeout, or within maxNoDataBytes, is cancelled. An output that exceeds maxOutputBytes, or
 // finds no room beside the others, is discarded: the next run starts from the first event.
@@ -60,12 +74,7 @@
 		return r.interrupted(ctx, q, s, err)
 	}
 	defer a.Body.Close()
-	if !a.AddressReassigned { // another upstream has responded
-		r.d.Limits.Observe(s.Upstream, a.Limit)
-		if a.Leaving {
-			r.d.Departures.Observe(s.Upstream)
-		}
-	}
+	r.observe(s.Upstream, a)
 	if o, ok := unsuccessful(a); ok {
 		return o
 	}
--- a/internal/transport/batchrun/runner_test.go
+++ b/internal/transport/batchrun/runner_test.go
@@ -171,6 +171,7 @@
 
 func (noLimits) Limited(string) bool                                { return false }
 func (noLimits) Observe(string, float64)                            {}
+func (noLimits) ObserveCold(string, time.Duration)                  {}
 func (noLimits) Take(context.Context, string) (bool, time.Duration) { return true, 0 }
 
 // runFixture runs f in virtual time beside a Runner.
@@ -181,7 +182,7 @@
 		w.leads.Store(true)
 		w.plan.Store(itemPlan(0, 0))
 		w.list.Store(&[]roster.Upstream{{ID: "up", Service: "s", Address: "a", Slots: slots}})
-		r := New(Deps{Restarts: restart.New(), Limits: noLimits{}, Quarantines: quarantine.NewList(), Crashes: quarantine.NewTracker(func(string, []quarantine.Suspect) {}),
+		r := New(Deps{Restarts: restart.New(func(time.Time, string) {}), Limits: noLimits{}, Quarantines: quarantine.NewList(), Crashes: quarantine.NewTracker(func(string, []quarantine.Suspect) {}),
 			Segments:  func(map[string]string) []string { return nil },
 			Docket:    w.docket,
 			Upstreams: e,
--- a/internal/transport/batchrun/step_benchmark_test.go
+++ b/internal/transport/batchrun/step_benchmark_test.go
@@ -52,7 +52,7 @@
 	for i := range burstEntries {
 		h.Receive(fmt.Sprint("entry-", i), EncodeCounts(Counts{Requests: full}))
 	}
-	r := New(Deps{Restarts: restart.New(), Limits: noLimits{}, Quarantines: quarantine.NewList(), Crashes: quarantine.NewTracker(func(string, []quarantine.Suspect) {}),
+	r := New(Deps{Restarts: restart.New(func(time.Time, string) {}), Limits: noLimits{}, Quarantines: quarantine.NewList(), Crashes: quarantine.NewTracker(func(string, []quarantine.Suspect) {}),
 		LoadAge: func() time.Duration { return 100 * time.Millisecond }, LoadKnown: func() bool { return true },
 		Segments: func(map[string]string) []string { return nil }, Docket: d, Leads: func() bool { return true }, Plan: func() *plan.Plan { return p },
 		List: func() []roster.Upstream { return l }, Retention: time.Hour, Log: slog.New(slog.DiscardHandler)}, h)
--- a/internal/transport/relay/exchange.go
+++ b/internal/transport/relay/exchange.go
@@ -351,6 +351,9 @@
 	if !a.AddressReassigned { // another upstream has responded
 		x.r.d.Restarts.Responded(time.Now(), c.ID, began)
 		x.r.d.Limits.Observe(c.ID, a.Limit)
+		if a.NamesCold {
+			x.r.d.Limits.ObserveCold(c.ID, a.Cold)
+		}
 		if a.Leaving {
 			x.r.d.Departures.Observe(c.ID)
 		}
--- a/internal/transport/relay/firstbyte_test.go
+++ b/internal/transport/relay/firstbyte_test.go
@@ -47,7 +47,7 @@
 				p.Routes[0].Objective = c.objective
 				p.Index()
 				u := &upstreams{}
-				r := relay.New(relay.Deps{Upstreams: u, Pool: pool, RetryPolicy: dispatch.NewRetryPolicy(), Restarts: restart.New(), Quota: limits{}, Traffic: noMetrics{},
+				r := relay.New(relay.Deps{Upstreams: u, Pool: pool, RetryPolicy: dispatch.NewRetryPolicy(), Restarts: restart.New(func(time.Time, string) {}), Quota: limits{}, Traffic: noMetrics{},
 					Limits: noLimits{}, Quarantines: quarantine.NewList(), Crashes: quarantine.NewTracker(func(string, []quarantine.Suspect) {}), Origins: unversioned{},
 					Plan: func() *plan.Plan { return p }, Log: slog.New(slog.DiscardHandler)})
 				send := func(wait time.Duration) *caller {
--- a/internal/transport/relay/memory_test.go
+++ b/internal/transport/relay/memory_test.go
@@ -105,7 +105,7 @@
 				pool := dispatch.New(dispatch.Deps{Zone: "a", Connected: func(string) bool { return false }, OnPreemption: func(dispatch.Choice) {}})
 				pool.SetUpstreams(time.Now(), []roster.Upstream{{ID: "up", Service: "s", Address: "a", Slots: 2 * faultyRequests}})
 				p := newPlan(c.kind, 1, false)
-				r := relay.New(relay.Deps{Upstreams: u, Pool: pool, RetryPolicy: dispatch.NewRetryPolicy(), Restarts: restart.New(), Quota: limits{}, Traffic: noMetrics{},
+				r := relay.New(relay.Deps{Upstreams: u, Pool: pool, RetryPolicy: dispatch.NewRetryPolicy(), Restarts: restart.New(func(time.Time, string) {}), Quota: limits{}, Traffic: noMetrics{},
 					Limits: noLimits{}, Quarantines: quarantine.NewList(), Crashes: quarantine.NewTracker(func(string, []quarantine.Suspect) {}), Origins: unversioned{},
 					Plan: func() *plan.Plan { return p }, Log: slog.New(slog.DiscardHandler)})
 				serve := func(id string) *caller {
--- a/internal/transport/relay/origin_test.go
+++ b/internal/transport/relay/origin_test.go
@@ -51,7 +51,7 @@
 	pool.SetUpstreams(time.Now(), l)
 	p := newPlan(plan.Stream, 3, true)
 	p.Routes[0].GapLimit = 100 * time.Millisecond
-	return relay.New(relay.Deps{Upstreams: u, Pool: pool, RetryPolicy: dispatch.NewRetryPolicy(), Restarts: restart.New(), Quota: limits{}, Traffic: noMetrics{}, Limits: noLimits{},
+	return relay.New(relay.Deps{Upstreams: u, Pool: pool, RetryPolicy: dispatch.NewRetryPolicy(), Restarts: restart.New(func(time.Time, string) {}), Quota: limits{}, Traffic: noMetrics{}, Limits: noLimits{},
 		Quarantines: quarantine.NewList(), Crashes: quarantine.NewTracker(func(string, []quarantine.Suspect) {}), Origins: o,
 		Plan: func() *plan.Plan { return p }, Log: slog.New(slog.DiscardHandler)}), pool
 }
--- a/internal/transport/relay/quarantine_test.go
+++ b/internal/transport/relay/quarantine_test.go
@@ -53,7 +53,7 @@
 				p.Routes[0].GapLimit = time.Second
 				l := quarantine.NewList()
 				u := &upstreams{reactions: c.reactions}
-				r := relay.New(relay.Deps{Upstreams: u, Pool: pool, RetryPolicy: dispatch.NewRetryPolicy(), Restarts: restart.New(), Quota: limits{}, Traffic: noMetrics{},
+				r := relay.New(relay.Deps{Upstreams: u, Pool: pool, RetryPolicy: dispatch.NewRetryPolicy(), Restarts: restart.New(func(time.Time, string) {}), Quota: limits{}, Traffic: noMetrics{},
 					Limits: noLimits{}, Quarantines: l, Crashes: quarantine.NewTracker(func(string, []quarantine.Suspect) {}), Origins: unversioned{},
 					Plan: func() *plan.Plan { return p }, Log: slog.New(slog.DiscardHandler)})
 				adopt := func() { l.Adopt(1, []plan.Quarantine{{Segments: []string{"bad"}}}) }
--- a/internal/transport/relay/relay.go
+++ b/internal/transport/relay/relay.go
@@ -80,6 +80,8 @@
 type LimitProvider interface {
 	// Observe records the limit that a response named in requests per second; 0 is none.
 	Observe(upstream string, rate float64)
+	// ObserveCold records the remaining warm-up time that a response named; 0 is warm.
+	ObserveCold(upstream string, left time.Duration)
 	// Take admits a request to an upstream, or returns how long to wait until one may be admitted there.
 	Take(ctx context.Context, upstream string) (ok bool, wait time.Duration)
 }
--- a/internal/transport/relay/relay_test.go
+++ b/internal/transport/relay/relay_test.go
@@ -158,6 +158,7 @@
 type noLimits struct{}
 
 func (noLimits) Observe(string, float64)                            {}
+func (noLimits) ObserveCold(string, time.Duration)                  {}
 func (noLimits) Take(context.Context, string) (bool, time.Duration) { return true, 0 }
 
 func newPlan(kind plan.Kind, attempts int, resumable bool) *plan.Plan {
@@ -192,7 +193,7 @@
 			l = append(l, roster.Upstream{ID: fmt.Sprint("up-", i), Service: "s", Address: "a", Slots: 1})
 		}
 		pool.SetUpstreams(time.Now(), l)
-		r := relay.New(relay.Deps{Upstreams: u, Pool: pool, RetryPolicy: dispatch.NewRetryPolicy(), Restarts: restart.New(), Quota: limits{}, Traffic: noMetrics{},
+		r := relay.New(relay.Deps{Upstreams: u, Pool: pool, RetryPolicy: dispatch.NewRetryPolicy(), Restarts: restart.New(func(time.Time, string) {}), Quota: limits{}, Traffic: noMetrics{},
 			Limits: noLimits{}, Quarantines: quarantine.NewList(), Crashes: quarantine.NewTracker(func(string, []quarantine.Suspect) {}), Origins: unversioned{},
 			Plan: func() *plan.Plan { return p }, Log: slog.New(slog.DiscardHandler)})
 		q := &relay.Request{ID: "q", Method: "POST", Host: "h", Path: "/p", Target: "/p", Key: "k", Arrived: time.Now(),
@@ -450,7 +451,7 @@
 		pool.SetUpstreams(time.Now(), []roster.Upstream{{ID: "up-0", Service: "s", Slots: 1}, {ID: "up-1", Service: "s", Slots: 1}, {ID: "up-2", Service: "s", Slots: 1}})
 		p := newPlan(plan.Safe, 2, false)
 		u := &garbage{}
-		r := relay.New(relay.Deps{Upstreams: u, Pool: pool, RetryPolicy: dispatch.NewRetryPolicy(), Restarts: restart.New(), Quota: limits{}, Traffic: noMetrics{},
+		r := relay.New(relay.Deps{Upstreams: u, Pool: pool, RetryPolicy: dispatch.NewRetryPolicy(), Restarts: restart.New(func(time.Time, string) {}), Quota: limits{}, Traffic: noMetrics{},
 			Limits: noLimits{}, Quarantines: quarantine.NewList(), Crashes: quarantine.NewTracker(func(string, []quarantine.Suspect) {}), Origins: unversioned{},
 			Plan: func() *plan.Plan { return p }, Log: slog.New(slog.DiscardHandler)})
 		for range 100 {
--- a/internal/transport/relay/waits_test.go
+++ b/internal/transport/relay/waits_test.go
@@ -33,7 +33,7 @@
 	b := &busyFleet{plan: p, pool: dispatch.New(dispatch.Deps{Zone: "a", Connected: func(string) bool { return false }, OnPreemption: func(dispatch.Choice) {}})}
 	b.pool.SetUpstreams(time.Now(), []roster.Upstream{{ID: "up", Service: "s", Slots: 1}})
 	b.occupied, _, _ = b.pool.Take(time.Now(), dispatch.Request{Service: "s"})
-	b.relay = relay.New(relay.Deps{Upstreams: u, Pool: b.pool, RetryPolicy: dispatch.NewRetryPolicy(), Restarts: restart.New(), Quota: limits{}, Traffic: noMetrics{},
+	b.relay = relay.New(relay.Deps{Upstreams: u, Pool: b.pool, RetryPolicy: dispatch.NewRetryPolicy(), Restarts: restart.New(func(time.Time, string) {}), Quota: limits{}, Traffic: noMetrics{},
 		Limits: noLimits{}, Quarantines: quarantine.NewList(), Crashes: quarantine.NewTracker(func(string, []quarantine.Suspect) {}), Origins: unversioned{},
 		Plan: func() *plan.Plan { return b.plan }, Log: slog.New(slog.DiscardHandler)})
 	return b
