--- a/internal/command/node/control.go
+++ b/internal/command/node/control.go
@@ -333,13 +333,16 @@
 		return nil, err
 	}
 	s := c.machine.State()
-	revision, known := c.n.member.evacuations.Known() // those of s or, on a VM outside the group, of a bulletin
+	m := c.n.member
+	m.adoptCold(r.Cold)
+	revision, known := m.evacuations.Known() // those of s or, on a VM outside the group, of a bulletin
 	x, ok := c.lead(r, s)
 	if !ok {
 		x = c.follow(r, s)
 	}
 	x.Evacuates = ok && r.VM.Class == roster.Control && c.evacuates.Load()
 	x.SetEvacuations(r, revision, known)
+	x.Cold = m.warmup.Words(time.Now())
 	if err := c.packer.Pack(r, &x); err != nil {
 		c.n.Log.Error("configuration sent uncompressed", "error", err)
 	}
--- a/internal/command/node/evacuate.go
+++ b/internal/command/node/evacuate.go
@@ -90,6 +90,7 @@
 		text := "evacuation in force"
 		if e.Ended {
 			text = "evacuation ended"
+			m.Returned(e.Zone, time.Now())
 		}
 		m.n.Log.Info(text, "zone", e.Zone, "revision", e.Revision)
 	}
@@ -98,9 +99,6 @@
 	}
 }
 
-// ReturnedAt returns when this VM learned that the last evacuation of a data centre has ended; zero when there was none or it is evacuated.
-func (m *member) ReturnedAt(zone string) time.Time { return m.evacuations.ReturnedAt(zone) }
-
 // evacuated returns 1 for each evacuated data centre and 0 for each that was evacuated.
 func (m *member) evacuated() map[string]float64 {
 	values := map[string]float64{}
