dispatch: Choose upstreams by the expected time to the first event

Engines of one service differ in speed and are slowed by neighbours, but one request in flight counted as one of eight slots at each of them.

Package pace follows the factor that upstreams report and estimates wait, first event and end, with the uncertainty of counts that are some time old.

--- a/internal/coordination/dispatch/patience.go
+++ b/internal/coordination/dispatch/patience.go
@@ -55,10 +55,15 @@
 // FirstByteTimeout returns after which time without a first byte an attempt is lost, compared with the usual one of the service. left is the
 // time in which another attempt must begin to be of use to the caller; it returns false when that is shorter.
 func (p *RetryPolicy) FirstByteTimeout(service string, left time.Duration) (time.Duration, bool) {
+	return p.FirstByteTimeoutAt(service, 1, 0, left)
+}
+
+// FirstByteTimeoutAt is FirstByteTimeout at an upstream where work takes a multiple of the usual time, after a wait.
+func (p *RetryPolicy) FirstByteTimeoutAt(service string, factor float64, wait, left time.Duration) (time.Duration, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	u, ok := p.firstByte[service]
-	d := u.mean + max(soundPause, unusualDeviations*u.deviation)
+	d := wait + time.Duration(factor*float64(u.mean)) + max(soundPause, time.Duration(factor*unusualDeviations*float64(u.deviation)))
 	if !ok {
 		d = newFirstByteTimeout
 	}
--- a/internal/coordination/dispatch/pool.go
+++ b/internal/coordination/dispatch/pool.go
@@ -10,6 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"snipetack/internal/coordination/pace"
 	"snipetack/internal/coordination/roster"
 )
 
@@ -39,17 +40,19 @@
 
 // Request holds what the choice of an upstream depends on.
 type Request struct {
-	Service  string
-	Session  string   // requests of a session share most of their prompt; may be ""
-	Exclude  []string // ids of upstreams that failed this request
-	Prefer   string   // id of the upstream that holds the request's state, or ""; such a request skips the queue while a slot is free
-	Only     string   // id of the only acceptable upstream, or ""
-	Pinned   bool     // only upstreams of Version are acceptable
-	Version  string
-	Priority int           // 0 is the most urgent
-	Latest   time.Time     // after which a start is of no use to the caller; the earliest goes first within a priority, then in order of arrival
-	MaxWait  time.Duration // the request is not queued when it is expected to wait for longer
-	Ticket   uint64        // of the Choice that the request had to give back, which keeps its place in the queue; 0 for a new request
+	Service   string
+	Session   string   // requests of a session share most of their prompt; may be ""
+	Exclude   []string // ids of upstreams that failed this request
+	Prefer    string   // id of the upstream that holds the request's state, or ""; such a request skips the queue while a slot is free
+	Only      string   // id of the only acceptable upstream, or ""
+	Pinned    bool     // only upstreams of Version are acceptable
+	Version   string
+	Priority  int           // 0 is the most urgent
+	Latest    time.Time     // after which a start is of no use to the caller; the earliest goes first within a priority, then in order of arrival
+	Objective time.Duration // time to the first event that callers expect, or 0
+	FirstBy   time.Time     // when that is over, or zero
+	MaxWait   time.Duration // the request is not queued when it is expected to wait for longer
+	Ticket    uint64        // of the Choice that the request had to give back, which keeps its place in the queue; 0 for a new request
 }
 
 // Choice is an upstream with a slot taken for the request; Pool.End releases the slot.
@@ -63,6 +66,8 @@
 	Limited  bool   // the upstream names a limit: it gets no other request from here until Admitted or Limited
 	Ticket   uint64 // place in the queue
 
+	Expected pace.Estimate // as of the choice; zero unless an upstream of the service has reported its pace
+
 	takenAt time.Time // when the slot was assigned
 }
 
@@ -85,6 +90,7 @@
 	limit        float64   // requests per second that the upstream takes from all VMs; 0 is no limit
 	limitedUntil time.Time // no request is admitted before this time
 	asking       bool      // whether a request has a slot that the limit has not admitted yet
+	speed        speed
 }
 
 // waiter is a request queued for a slot.
@@ -108,6 +114,8 @@
 	waiters   map[string][]*waiter     // by service, in the order of before
 	wakes     map[string]time.Time     // when serveWaiters is called next, by service
 	lastSeq   uint64
+	estimates map[string]*estimates // by service; of those with an upstream that has reported a pace
+	loadAge   time.Duration         // how old the loads of other VMs were when they arrived
 }
 
 // Deps are the collaborators of a Pool.
@@ -116,6 +124,7 @@
 	Connected    func(address string) bool // reports whether an idle connection is open
 	Doubtful     func(id string) bool      // reports whether an upstream may have started again with another version; may be nil
 	OnPreemption func(Choice)              // called when a request takes a slot that a batch item has to release; must not block
+	LoadAge      func() time.Duration      // how old the loads of other VMs are when they arrive here; may be nil
 }
 
 // New returns an empty Pool.
@@ -131,6 +140,7 @@
 		slotRates: map[string]slotRate{},
 		slotTimes: map[string]time.Duration{},
 		wakes:     map[string]time.Time{},
+		estimates: map[string]*estimates{},
 	}
 }
 
@@ -190,6 +200,7 @@
 	for id, u := range p.byID {
 		u.others = loads[id]
 	}
+	p.observeLoads()
 	p.serveAll(now)
 }
 
@@ -442,6 +453,7 @@
 			t = d
 		}
 		p.slotTimes[u.Service] = t + time.Duration(slotTimeWeight*float64(d-t))
+		p.observeRun(now, u, d)
 	}
 	p.end(now, c.ID)
 }
@@ -519,6 +531,7 @@
 
 // assign takes a slot at an upstream; ticket is the request's place in the queue, or 0.
 func (p *Pool) assign(now time.Time, u *upstream, ticket uint64) Choice {
+	expected := p.expected(now, u)
 	u.own++
 	u.asking = u.limit > 0
 	p.slotRates[u.Service] = p.slotRates[u.Service].count(now)
@@ -526,7 +539,7 @@
 		p.lastSeq++
 		ticket = p.lastSeq
 	}
-	c := Choice{takenAt: now, Limited: u.asking, Ticket: ticket, ID: u.ID, Address: u.Address, Version: u.Version, Doubtful: p.doubtful(u), Load: u.own + p.others(now, u).Online + p.others(now, u).Batch, Slots: u.Slots}
+	c := Choice{takenAt: now, Limited: u.asking, Ticket: ticket, ID: u.ID, Address: u.Address, Version: u.Version, Doubtful: p.doubtful(u), Expected: expected, Load: u.own + p.others(now, u).Online + p.others(now, u).Batch, Slots: u.Slots}
 	if c.Slots > 0 && c.Load > c.Slots && p.others(now, u).Batch > 0 {
 		p.d.OnPreemption(c)
 	}
@@ -601,6 +614,9 @@
 			best, score = u, s
 		}
 	}
+	if best != nil && p.waitsHere(now, best, r) {
+		return nil
+	}
 	return best
 }
 
@@ -649,8 +665,9 @@
 	}
 	o := p.others(now, u)
 	n := float64(max(1, u.Slots))
-	s := float64(u.own+o.Online+o.Batch) / n
-	if s >= 1 {
+	taken := float64(u.own+o.Online+o.Batch) / n
+	s := p.expectedScore(now, u, r, taken)
+	if taken >= 1 {
 		s += fullPenalty
 	}
 	k := p.costClass(u)
