relay: Pass on the load reports of upstreams and use the estimate

Responses name running, waiting, slots and pace; nothing read them. They are decoded in platform and go to the Pool with the time that the response took. Nonsense is discarded, counted and logged at most every 10 s.

The first-byte timeout of an attempt is scaled by the pace of its upstream, and observed times are brought to the usual pace, so that a slow upstream is not taken for lost too early. 'request placed' gets the expected times, and the histogram relay_estimate_error how wrong they were.

--- a/internal/coordination/dispatch/estimate_test.go
+++ b/internal/coordination/dispatch/estimate_test.go
@@ -107,3 +107,19 @@
 		})
 	}
 }
+
+// TestFirstByteTimeoutAtSlowUpstream guards against taking a slow upstream for lost while it responds as fast as it can.
+func TestFirstByteTimeoutAtSlowUpstream(t *testing.T) {
+	p := dispatch.NewRetryPolicy()
+	for range 200 {
+		p.Observe("s", 100*time.Millisecond)
+	}
+	usual, _ := p.FirstByteTimeout("s", time.Second)
+	slow, ok := p.FirstByteTimeoutAt("s", 4, 50*time.Millisecond, time.Second)
+	require.True(t, ok)
+	require.Equal(t, usual+350*time.Millisecond, slow)
+	fast, _ := p.FirstByteTimeoutAt("s", 0.5, 0, time.Second)
+	require.Equal(t, usual-50*time.Millisecond, fast)
+	_, ok = p.FirstByteTimeoutAt("s", 4, 0, slow/2)
+	require.False(t, ok, "no other attempt could begin in time")
+}
--- a/internal/transport/relay/exchange.go
+++ b/internal/transport/relay/exchange.go
@@ -175,7 +175,8 @@
 // logAttempt logs the upstream of an attempt with the values that determined it.
 func (x *exchange) logAttempt(c dispatch.Choice) {
 	x.r.d.Log.Info("request placed", "request", x.a.ID, "account", x.a.Account.Name, "route", x.a.Route.Name, "configuration", x.a.Version,
-		"attempt", x.attempts, "upstream", c.ID, "software", c.Version, "load", c.Load, "slots", c.Slots, "event", x.lastEvent, "takes_up", x.a.TakesUp, "waited", x.slotTaken.Sub(x.a.Arrived))
+		"attempt", x.attempts, "upstream", c.ID, "software", c.Version, "load", c.Load, "slots", c.Slots, "event", x.lastEvent, "takes_up", x.a.TakesUp, "waited", x.slotTaken.Sub(x.a.Arrived),
+		"expected", c.Expected.First, "expected_wait", c.Expected.Wait)
 }
 
 // doubtful reports whether an upstream may have started again, with another version of its software, since the list was read.
@@ -235,6 +236,7 @@
 		MaxWait:  time.Until(latest),
 		Ticket:   ticket,
 	}
+	q.Objective, q.FirstBy = x.objective()
 	if x.attempts >= maxAttempts {
 		return dispatch.Choice{}, false
 	}
@@ -354,6 +356,7 @@
 		if a.Leaving {
 			x.r.d.Departures.Observe(c.ID)
 		}
+		x.reported(c, a, time.Since(began))
 	}
 	if a.AddressReassigned {
 		x.r.d.Pool.AddressReassigned(time.Now(), c.ID)
@@ -386,7 +389,7 @@
 		x.reason = "the stream could not be resumed"
 		return broken // the caller has part of a stream; another response can't follow it
 	}
-	x.r.d.RetryPolicy.Observe(x.a.Service, time.Since(began))
+	x.r.d.RetryPolicy.Observe(x.a.Service, x.usualTime(c, time.Since(began)))
 	x.r.d.Traffic.FirstByte(x.a.Route.Kind.String(), time.Since(x.a.Arrived))
 	if x.a.Route.Kind == plan.Stream && a.Status == http.StatusOK {
 		return x.relayStream(ctx, cancel, c, a)
@@ -412,7 +415,7 @@
 	if !x.repeatable() || len(x.mayHaveRun)+1 >= max(1, x.a.Route.Attempts) || c.Load > c.Slots {
 		return &watchdog{}
 	}
-	d, ok := x.r.d.RetryPolicy.FirstByteTimeout(x.a.Service, time.Until(x.latestStart()))
+	d, ok := x.firstByteTimeout(c)
 	if !ok {
 		return &watchdog{}
 	}
--- a/internal/transport/relay/relay.go
+++ b/internal/transport/relay/relay.go
@@ -67,6 +67,10 @@
 	Attempt(outcome string)
 	// FirstByte records the time from a request's arrival to the header of its response.
 	FirstByte(kind string, d time.Duration)
+	// EstimateError records by how much the first byte of a response came later than expected when its upstream was chosen.
+	EstimateError(kind string, d time.Duration)
+	// ReportDiscarded counts a report of an upstream's load that was nonsense.
+	ReportDiscarded()
 }
 
 // QuotaProvider enforces the rate limits of accounts.
@@ -98,6 +102,8 @@
 	runTimes dispatch.RunTimes
 	endsAt   atomic.Pointer[time.Time] // nil unless this VM stops
 	stops    chan struct{}             // closed once endsAt is set
+
+	discardLogged atomic.Int64 // when a discarded report of an upstream was last logged, as Unix time in ns
 }
 
 // New returns a Relay.
--- a/internal/transport/relay/relay_test.go
+++ b/internal/transport/relay/relay_test.go
@@ -147,6 +147,10 @@
 func (noMetrics) Attempt(string)                  {}
 func (noMetrics) FirstByte(string, time.Duration) {}
 
+func (noMetrics) EstimateError(string, time.Duration) {}
+
+func (noMetrics) ReportDiscarded() {}
+
 // limits admits all accounts but "over".
 type limits struct{}
 
--- a/internal/transport/relay/types.go
+++ b/internal/transport/relay/types.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"snipetack/internal/coordination/pace"
 	"snipetack/internal/state/result"
 )
 
@@ -45,12 +46,13 @@
 	Header            http.Header // headers to return to the caller
 	Length            int64       // of the body in bytes; -1 when unknown
 	Body              io.ReadCloser
-	Unframed          bool    // the body has neither a length nor chunks and ends with its connection
-	NotRun            bool    // the upstream reports that it has not run the request and will not run it
-	AddressReassigned bool    // another upstream uses the address now; it has not run the request
-	Limit             float64 // requests per second that the upstream takes from all VMs together; 0 when it names none
-	Leaving           bool    // the upstream announces that it is about to stop
-	Signed            bool    // the response carries the upstream's signature; an unsigned one is not forwarded
+	Unframed          bool         // the body has neither a length nor chunks and ends with its connection
+	NotRun            bool         // the upstream reports that it has not run the request and will not run it
+	AddressReassigned bool         // another upstream uses the address now; it has not run the request
+	Limit             float64      // requests per second that the upstream takes from all VMs together; 0 when it names none
+	Load              *pace.Report // of the upstream; nil when it says nothing of it
+	Leaving           bool         // the upstream announces that it is about to stop
+	Signed            bool         // the response carries the upstream's signature; an unsigned one is not forwarded
 }
 
 // UpstreamProvider sends requests to upstreams.
--- a/internal/transport/telemetry/traffic.go
+++ b/internal/transport/telemetry/traffic.go
@@ -14,6 +14,8 @@
 	requests  metric.Int64Counter
 	attempts  metric.Int64Counter
 	firstByte metric.Float64Histogram
+	estimates metric.Float64Histogram
+	discarded metric.Int64Counter
 }
 
 // NewTraffic creates the instruments of a Traffic.
@@ -31,7 +33,17 @@
 	t.firstByte, err = m.Float64Histogram("relay_first_byte", metric.WithUnit("s"),
 		metric.WithDescription("Time from a request's arrival to the first byte from an upstream."),
 		metric.WithExplicitBucketBoundaries(0.01, 0.03, 0.05, 0.1, 0.2, 0.3, 0.5, 1, 2, 5))
-	return t, errors.Wrap(err, "creating the histogram of first bytes")
+	if err != nil {
+		return nil, errors.Wrap(err, "creating the histogram of first bytes")
+	}
+	t.estimates, err = m.Float64Histogram("relay_estimate_error", metric.WithUnit("s"),
+		metric.WithDescription("Time by which the first byte from an upstream came later than expected; below 0 it came earlier."),
+		metric.WithExplicitBucketBoundaries(-0.5, -0.2, -0.1, -0.05, -0.02, 0, 0.02, 0.05, 0.1, 0.2, 0.5, 1))
+	if err != nil {
+		return nil, errors.Wrap(err, "creating the histogram of estimates")
+	}
+	t.discarded, err = m.Int64Counter("upstream_reports_discarded", metric.WithDescription("Load reports of upstreams that were nonsense."))
+	return t, errors.Wrap(err, "creating the counter of discarded reports")
 }
 
 // Request counts a request whose response is final. The code is the result code, or zero for an upstream's own response.
@@ -48,3 +60,11 @@
 func (t *Traffic) FirstByte(kind string, d time.Duration) {
 	t.firstByte.Record(context.Background(), d.Seconds(), metric.WithAttributes(attribute.String("kind", kind)))
 }
+
+// EstimateError records by how much the first byte of a response came later than expected.
+func (t *Traffic) EstimateError(kind string, d time.Duration) {
+	t.estimates.Record(context.Background(), d.Seconds(), metric.WithAttributes(attribute.String("kind", kind)))
+}
+
+// ReportDiscarded counts a load report of an upstream that was nonsense.
+func (t *Traffic) ReportDiscarded() { t.discarded.Add(context.Background(), 1) }
