batchrun: Share the paces of upstreams between VMs

An entry VM sends one upstream a request every ten seconds or so, too rarely to follow its pace. Older builds skip the fields and get no message.

--- a/internal/command/node/batch.go
+++ b/internal/command/node/batch.go
@@ -66,6 +66,7 @@
 	n.link.Receive(link.Consensus, b.receive)
 	n.link.Receive(link.Load, b.hub.Receive)
 	n.link.Receive(link.Loads, b.receiveLoads)
+	n.link.Receive(link.Paces, b.receivePaces)
 	n.link.Handle(link.Job, b.handle)
 	n.member.restoreVersions()
 	serveOrigins(n.link, n.member)
@@ -155,7 +156,8 @@
 		if vm == "" {
 			continue
 		}
-		b.n.link.Send(vm, link.Load, batchrun.EncodeCounts(batchrun.Counts{Requests: online, Urgent: urgent, Hashed: true}))
+		b.n.link.Send(vm, link.Load, batchrun.EncodeCounts(batchrun.Counts{Requests: online, Urgent: urgent, Hashed: true, Paced: true,
+			Paces: b.hub.Paces.Due(time.Now(), vm)}))
 		if urgent {
 			pause.For(ctx, urgentForward)
 		} else {
@@ -287,6 +289,7 @@
 				b.n.link.Send(vm, link.Hint, batchrun.EncodeHint(tag, ids, l))
 			}
 		}
+		b.sendPaces()
 	}
 	return nil
 }
--- a/internal/command/node/entry.go
+++ b/internal/command/node/entry.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"snipetack/internal/coordination/dispatch"
+	"snipetack/internal/coordination/pace"
 	"snipetack/internal/coordination/pause"
 	"snipetack/internal/coordination/roster"
 	"snipetack/internal/coordination/share"
@@ -57,7 +58,7 @@
 	e := &entry{n: n, preempted: make(chan struct{}, 1)}
 	e.requests, e.endRequests = context.WithCancel(context.Background())
 	m := n.member
-	e.pool = dispatch.New(dispatch.Deps{Zone: n.Settings.Zone, Connected: n.conns.Idle, Doubtful: m.restarts.Doubtful, OnPreemption: func(dispatch.Choice) {
+	e.pool = dispatch.New(dispatch.Deps{Zone: n.Settings.Zone, Connected: n.conns.Idle, Doubtful: m.restarts.Doubtful, LoadAge: m.loadAge, OnPreemption: func(dispatch.Choice) {
 		select {
 		case e.preempted <- struct{}{}:
 		default:
@@ -91,6 +92,7 @@
 	e.drainer = newDrainer(e.server)
 	n.link.Receive(link.Hint, e.hint)
 	n.link.Receive(link.Loads, e.loads)
+	n.link.Receive(link.Paces, e.paces)
 	return e, n.registerGauges([]gauge{
 		{"requests_in_flight", "Callers' requests in progress.", func() float64 { return float64(e.relay.Active()) }},
 		{"requests_waiting", "Requests that wait for a place at an upstream.", func() float64 { return float64(e.pool.Waiting()) }},
@@ -147,7 +149,7 @@
 	t := time.NewTicker(loadInterval)
 	defer t.Stop()
 	for {
-		c := batchrun.Counts{Hashed: true}
+		c := batchrun.Counts{Hashed: true, Paced: true}
 		select {
 		case <-ctx.Done():
 			return nil
@@ -163,7 +165,8 @@
 				vm = x
 			}
 		}
-		if vm == receiver && maps.Equal(c.Requests, last) && now.Sub(sent) < loadRefresh {
+		c.Paces = pace.SamplesOf(e.pool.TakePaces(now))
+		if vm == receiver && len(c.Paces) == 0 && maps.Equal(c.Requests, last) && now.Sub(sent) < loadRefresh {
 			continue
 		}
 		if vm != receiver && receiver != "" { // otherwise both would count the requests
--- a/internal/coordination/pace/pace_test.go
+++ b/internal/coordination/pace/pace_test.go
@@ -63,3 +63,25 @@
 	require.LessOrEqual(t, of(3, 5, 1, 0).Wait, 80*time.Millisecond, "items give way")
 	require.InDelta(t, 3*750/8, of(10, 0, 1, 0).Wait.Milliseconds(), 1, "three requests are ahead")
 }
+
+// TestSamplesOnTheWire guards against factors that change on their way, and against bytes that no encoder writes.
+func TestSamplesOnTheWire(t *testing.T) {
+	l := pace.SamplesOf([]pace.Shared{{ID: "a", Factor: 0.55, Age: 41 * time.Millisecond}, {ID: "b", Factor: pace.MaxFactor}, {ID: "c", Factor: pace.MinFactor},
+		{ID: "old", Factor: 1, Age: time.Minute}})
+	b := pace.Encode(l)
+	require.Len(t, b, 3*6)
+	got, ok := pace.Decode(b)
+	require.True(t, ok)
+	shared := pace.Resolve(got, []string{"x", "a", "b", "c"})
+	require.Len(t, shared, 3)
+	require.Equal(t, "a", shared[0].ID)
+	require.InEpsilon(t, 0.55, shared[0].Factor, 0.02)
+	require.Equal(t, 50*time.Millisecond, shared[0].Age)
+	for _, s := range shared {
+		require.True(t, new(pace.Track).Report(time.Unix(1, 0), s.Factor))
+	}
+	for _, x := range [][]byte{b[:5], append(b[:6:6], 0, 0, 0, 0, 0, 0)} {
+		_, ok := pace.Decode(x)
+		require.False(t, ok)
+	}
+}
--- a/internal/transport/batchrun/carry.go
+++ b/internal/transport/batchrun/carry.go
@@ -65,6 +65,7 @@
 		if a.Leaving {
 			r.d.Departures.Observe(s.Upstream)
 		}
+		r.reported(s.Upstream, a)
 	}
 	if o, ok := unsuccessful(a); ok {
 		return o
--- a/internal/transport/batchrun/hub.go
+++ b/internal/transport/batchrun/hub.go
@@ -8,8 +8,10 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
 
 	"snipetack/internal/coordination/dispatch"
+	"snipetack/internal/coordination/pace"
 	"snipetack/internal/state/wire"
 )
 
@@ -35,6 +37,8 @@
 	sentHints map[string]sentHint      // by entry VM or collector
 	base      map[string]dispatch.Load // by upstream, from VMs that do not report here
 	baseAt    time.Time
+
+	Paces Paces // of upstreams
 }
 
 // report is the last report of an entry VM or collector.
@@ -49,6 +53,8 @@
 	Urgent   bool           // a request has taken the slot of a batch item
 	Hashed   bool           // the sender understands link.Loads
 	Moved    bool           // the sender reports to another VM from now on
+	Paced    bool           // the sender understands link.Paces
+	Paces    []pace.Sample  // that the sender has received since its last report
 }
 
 // sentHint is the last hint sent to an entry VM.
@@ -94,6 +100,19 @@
 	return h.reports[vm].counts.Hashed
 }
 
+// Reporting returns the VMs that report to this Hub and understand link.Paces.
+func (h *Hub) Reporting() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var l []string
+	for vm, r := range h.reports {
+		if r.counts.Paced {
+			l = append(l, vm)
+		}
+	}
+	return l
+}
+
 // Receive replaces an entry VM's report by b, encoded by EncodeCounts. A report that can't be decoded is logged and dropped.
 func (h *Hub) Receive(from string, b []byte) {
 	c, err := DecodeCounts(b)
@@ -112,6 +131,7 @@
 		h.online[id] += n
 	}
 	h.mu.Unlock()
+	h.Paces.Add(time.Now(), from, c.Paces)
 	h.onChange(c.Urgent)
 }
 
@@ -265,6 +285,8 @@
 	e.Bool(2, c.Urgent)
 	e.Bool(3, c.Hashed)
 	e.Bool(4, c.Moved)
+	e.Bool(5, c.Paced)
+	e.Bytes(6, pace.Encode(c.Paces))
 	for id, n := range c.Requests {
 		e.Record(1, func(e *wire.Encoder) {
 			e.Text(1, id)
@@ -286,6 +308,14 @@
 			c.Hashed = d.Bool()
 		case 4:
 			c.Moved = d.Bool()
+		case 5:
+			c.Paced = d.Bool()
+		case 6:
+			l, ok := pace.Decode(d.Bytes())
+			if !ok {
+				d.Fail(errors.New("paces of upstreams can't be read"))
+			}
+			c.Paces = l
 		}
 		if f != 1 {
 			continue
--- a/internal/transport/link/frame.go
+++ b/internal/transport/link/frame.go
@@ -28,6 +28,9 @@
 
 	Origins Kind = 11 // where streams began, sent to the batch VMs that hold it
 	Origin  Kind = 12 // a question for it
+
+	// Paces is what others have received of the paces of upstreams, sent with hints. 13 and 14 are left to other kinds.
+	Paces Kind = 15
 )
 
 // frameType is the role of a frame in the protocol. Its numbers are part of the wire format.
