--- a/internal/coordination/dispatch/pool.go
+++ b/internal/coordination/dispatch/pool.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"snipetack/internal/coordination/fairness"
+	"snipetack/internal/coordination/pace"
 	"snipetack/internal/coordination/roster"
 	"snipetack/internal/coordination/spillover"
 	"snipetack/internal/state/plan"
@@ -42,20 +43,22 @@
 
 // Request holds what the choice of an upstream depends on.
 type Request struct {
-	Service  string
-	Session  string   // requests of a session share most of their prompt; may be ""
-	Exclude  []string // ids of upstreams that failed this request
-	Prefer   string   // id of the upstream that holds the request's state, or ""; such a request skips the queue while a slot is free
-	Only     string   // id of the only acceptable upstream, or ""
-	Pinned   bool     // only upstreams of Version are acceptable
-	Version  string
-	Homes    plan.Homes    // only upstreams in these regions are acceptable
-	Priority int           // 0 is the most urgent
-	Latest   time.Time     // after which a start is of no use to the caller; the earliest goes first within a priority, then in order of arrival
-	MaxWait  time.Duration // the request is not queued when it is expected to wait for longer
-	Ticket   uint64        // of the Choice that the request had to give back, which keeps its place in the queue; 0 for a new request
-	Account  string        // client account whose share it uses; may be ""
-	Size     time.Duration // for which it is expected to take a slot; 0 is unknown
+	Service   string
+	Session   string   // requests of a session share most of their prompt; may be ""
+	Exclude   []string // ids of upstreams that failed this request
+	Prefer    string   // id of the upstream that holds the request's state, or ""; such a request skips the queue while a slot is free
+	Only      string   // id of the only acceptable upstream, or ""
+	Pinned    bool     // only upstreams of Version are acceptable
+	Version   string
+	Homes     plan.Homes    // only upstreams in these regions are acceptable
+	Priority  int           // 0 is the most urgent
+	Latest    time.Time     // after which a start is of no use to the caller; the earliest goes first within a priority, then in order of arrival
+	Objective time.Duration // time to the first event that callers expect, or 0
+	FirstBy   time.Time     // when that is over, or zero
+	MaxWait   time.Duration // the request is not queued when it is expected to wait for longer
+	Ticket    uint64        // of the Choice that the request had to give back, which keeps its place in the queue; 0 for a new request
+	Account   string        // client account whose share it uses; may be ""
+	Size      time.Duration // for which it is expected to take a slot; 0 is unknown
 
 	overdraft int     // slots that it may take beyond those of an upstream
 	headroom  float64 // part of the upstreams at which it leaves a slot free
@@ -79,6 +82,8 @@
 	service, account string        // to which the slot is charged; "" without fairness
 	charged          time.Duration // so far
 	takenAt          time.Time     // when the slot was assigned
+
+	Expected pace.Estimate // as of the choice; zero unless an upstream of the service has reported its pace
 }
 
 // Load counts what is in flight at an upstream from VMs other than this one.
@@ -100,6 +105,7 @@
 	limit        float64   // requests per second that the upstream takes from all VMs; 0 is no limit
 	limitedUntil time.Time // no request is admitted before this time
 	asking       bool      // whether a request has a slot that the limit has not admitted yet
+	speed        speed
 }
 
 // waiter is a request queued for a slot.
@@ -124,7 +130,9 @@
 	waiters   map[string][]*waiter     // by service, in the order of before
 	wakes     map[string]time.Time     // when serveWaiters is called next, by service
 	lastSeq   uint64
-	urgencies map[string]urgency // by service; empty without fairness
+	urgencies map[string]urgency    // by service; empty without fairness
+	estimates map[string]*estimates // by service; of those with an upstream that has reported a pace
+	loadAge   time.Duration         // how old the loads of other VMs were when they arrived
 }
 
 // Deps are the collaborators of a Pool.
@@ -138,6 +146,7 @@
 	Spillover    *spillover.Controller     // decides which requests leave the data centre; nil adds zonePenalty to upstreams of others
 	OnPlaced     func(other bool)          // called with each slot that spillover decided on, with whether it is in another data centre; must not block; may be nil
 	OnShed       func(reason string)       // called when the fair queue refuses or closes a request; must not block; may be nil
+	LoadAge      func() time.Duration      // how old the loads of other VMs are when they arrive here; may be nil
 }
 
 // New returns an empty Pool.
@@ -154,6 +163,7 @@
 		slotTimes: map[string]time.Duration{},
 		wakes:     map[string]time.Time{},
 		urgencies: map[string]urgency{},
+		estimates: map[string]*estimates{},
 	}
 }
 
@@ -199,6 +209,7 @@
 	for id, u := range p.byID {
 		u.others = loads[id]
 	}
+	p.observeLoads()
 	p.serveAll(now)
 }
 
@@ -464,6 +475,7 @@
 			t = d
 		}
 		p.slotTimes[u.Service] = t + time.Duration(slotTimeWeight*float64(d-t))
+		p.observeRun(now, u, d)
 	}
 	p.end(now, c.ID)
 }
@@ -541,6 +553,7 @@
 
 // assign takes a slot at an upstream for a request; ticket is its place in the queue, or 0.
 func (p *Pool) assign(now time.Time, u *upstream, r Request, ticket uint64) Choice {
+	expected := p.expected(now, u)
 	u.own++
 	u.asking = u.limit > 0
 	p.slotRates[u.Service] = p.slotRates[u.Service].count(now)
@@ -548,7 +561,7 @@
 		p.lastSeq++
 		ticket = p.lastSeq
 	}
-	c := Choice{takenAt: now, Limited: u.asking, Ticket: ticket, ID: u.ID, Address: u.Address, Version: u.Version, Doubtful: p.doubtful(u), Load: u.own + p.others(now, u).Online + p.others(now, u).Batch, Slots: u.Slots}
+	c := Choice{takenAt: now, Limited: u.asking, Ticket: ticket, ID: u.ID, Address: u.Address, Version: u.Version, Doubtful: p.doubtful(u), Expected: expected, Load: u.own + p.others(now, u).Online + p.others(now, u).Batch, Slots: u.Slots}
 	if c.Slots > 0 && c.Load > c.Slots && p.others(now, u).Batch > 0 {
 		p.d.OnPreemption(c)
 	}
@@ -626,6 +639,9 @@
 			best, score = u, s
 		}
 	}
+	if best != nil && p.waitsHere(now, best, r) {
+		return nil
+	}
 	return best
 }
 
@@ -677,8 +693,9 @@
 	}
 	o := p.others(now, u)
 	n := float64(max(1, u.Slots))
-	s := float64(u.own+o.Online+o.Batch) / n
-	if s >= 1 {
+	taken := float64(u.own+o.Online+o.Batch) / n
+	s := p.expectedScore(now, u, r, taken)
+	if taken >= 1 {
 		s += fullPenalty
 	}
 	k := p.costClass(u)
--- a/internal/transport/batchrun/carry.go
+++ b/internal/transport/batchrun/carry.go
@@ -75,6 +75,9 @@
 	}
 	defer a.Body.Close()
 	r.observe(s.Upstream, a)
+	if !a.AddressReassigned {
+		r.reported(s.Upstream, a)
+	}
 	if o, ok := unsuccessful(a); ok {
 		return o
 	}
--- a/internal/transport/batchrun/hub.go
+++ b/internal/transport/batchrun/hub.go
@@ -8,9 +8,11 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
 
 	"snipetack/internal/coordination/dispatch"
 	"snipetack/internal/coordination/fairness"
+	"snipetack/internal/coordination/pace"
 	"snipetack/internal/state/wire"
 )
 
@@ -37,6 +39,8 @@
 	base      map[string]dispatch.Load // by upstream, from VMs that do not report here
 	baseAt    time.Time
 	use       *fairness.Totals
+
+	Paces Paces // of upstreams
 }
 
 // report is the last report of an entry VM or collector.
@@ -52,6 +56,8 @@
 	Hashed   bool           // the sender understands link.Loads
 	Moved    bool           // the sender reports to another VM from now on
 	Use      fairness.Use   // what accounts got lately from the sender, or from those that report to it; nil when it is not reported, or not in this report
+	Paced    bool           // the sender understands link.Paces
+	Paces    []pace.Sample  // that the sender has received since its last report
 }
 
 // sentHint is the last hint sent to an entry VM.
@@ -97,6 +103,19 @@
 	return h.reports[vm].counts.Hashed
 }
 
+// Reporting returns the VMs that report to this Hub and understand link.Paces.
+func (h *Hub) Reporting() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var l []string
+	for vm, r := range h.reports {
+		if r.counts.Paced {
+			l = append(l, vm)
+		}
+	}
+	return l
+}
+
 // Receive replaces an entry VM's report by b, encoded by EncodeCounts. A report that can't be decoded is logged and dropped.
 func (h *Hub) Receive(from string, b []byte) {
 	c, err := DecodeCounts(b)
@@ -119,6 +138,7 @@
 		h.online[id] += n
 	}
 	h.mu.Unlock()
+	h.Paces.Add(time.Now(), from, c.Paces)
 	h.onChange(c.Urgent)
 }
 
@@ -277,6 +297,8 @@
 	if c.Use != nil {
 		e.Element(5, c.Use.Encode(fairness.MaxSummed))
 	}
+	e.Bytes(6, pace.Encode(c.Paces))
+	e.Bool(7, c.Paced)
 	return e.Encoded()
 }
 
@@ -298,6 +320,14 @@
 				d.Fail(wire.ErrMalformed)
 			}
 			c.Use = u
+		case 6:
+			l, ok := pace.Decode(d.Bytes())
+			if !ok {
+				d.Fail(errors.New("paces of upstreams can't be read"))
+			}
+			c.Paces = l
+		case 7:
+			c.Paced = d.Bool()
 		}
 		if f != 1 {
 			continue
--- a/internal/transport/relay/contention.go
+++ b/internal/transport/relay/contention.go
@@ -7,10 +7,13 @@
 	"snipetack/internal/coordination/dispatch"
 )
 
-// contention returns the log attributes of a choice under contention handling: what the account had got in relation to its share, and why the request
-// leaves its data centre. There are none without.
-func (x *exchange) contention(c dispatch.Choice) []any {
+// decision returns the log attributes of what a choice depended on beside the load: the estimate of the upstream, what the account had got in
+// relation to its share, and why the request leaves its data centre. Those that had no part in it are left out.
+func (x *exchange) decision(c dispatch.Choice) []any {
 	var l []any
+	if c.Expected.First > 0 {
+		l = append(l, "expected", c.Expected.First, "expected_wait", c.Expected.Wait)
+	}
 	if _, ok := x.r.d.Pool.Standing(time.Now(), x.a.Service, x.a.Account.Name); ok {
 		l = append(l, "standing", rounded(c.Standing))
 	}
--- a/internal/transport/relay/types.go
+++ b/internal/transport/relay/types.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"snipetack/internal/coordination/pace"
 	"snipetack/internal/state/result"
 )
 
@@ -51,8 +52,9 @@
 	Limit             float64       // requests per second that the upstream takes from all VMs together; 0 when it names none
 	Cold              time.Duration // remaining warm-up time of the upstream, where NamesCold is set
 	NamesCold         bool
-	Leaving           bool // the upstream announces that it is about to stop
-	Signed            bool // the response carries the upstream's signature; an unsigned one is not forwarded
+	Load              *pace.Report // of the upstream; nil when it says nothing of it
+	Leaving           bool         // the upstream announces that it is about to stop
+	Signed            bool         // the response carries the upstream's signature; an unsigned one is not forwarded
 }
 
 // UpstreamProvider sends requests to upstreams.
