budget: Hold a process's clients within its memory and descriptors

Bodies, responses and connections had bounds of their own, by constants, and whoever came first kept its place until a time-out of 10 s. Heads and decoded JSON were not bounded at all: documents of many fields took a control VM of 256 MiB to 1,807.

One budget, a third of memory_mb (half at a control VM) and parts of max_files, now covers connections, heads, bodies, decoded JSON and responses kept for callers. When a client needs room, the connection that lacks progress for longest is closed; a request that is served is not. The configuration's limits on heads and idle time take effect; a head has at most 256 fields. serve takes its limits from the settings or from those of its process. Closed connections are counted and logged, at most one line a second and reason.

--- a/internal/command/cli/serve.go
+++ b/internal/command/cli/serve.go
@@ -4,8 +4,11 @@
 	"context"
 	"io"
 	"log/slog"
+	"math"
 	"os"
+	"runtime/debug"
 	"strings"
+	"syscall"
 
 	"github.com/pkg/errors"
 
@@ -70,12 +73,37 @@
 		Token:       access.Digest(t),
 		Log:         newLogger(e.err, s.Log).With("vm", v.Name),
 	}
+	d.MemoryMB, d.MaxFiles = processLimits(v)
 	if v.Keeper() {
 		d.Disk, err = disk.New(v.DataFolder)
 	}
 	return d, err
 }
 
+// processLimits returns the memory in MiB and the descriptors that the process may use: those of the settings, or else the limits
+// that it runs under; 0 is unknown. Memory that only the settings name becomes the Go runtime's limit.
+func processLimits(v settings.VM) (memoryMB, files int) {
+	memoryMB, files = v.MemoryMB, v.MaxFiles
+	limit := debug.SetMemoryLimit(-1)
+	switch {
+	case limit == math.MaxInt64 && memoryMB > 0:
+		debug.SetMemoryLimit(int64(heapFraction * float64(memoryMB) * (1 << 20)))
+	case limit != math.MaxInt64 && memoryMB == 0:
+		memoryMB = int(float64(limit) / heapFraction / (1 << 20))
+	}
+	var r syscall.Rlimit
+	if files == 0 && syscall.Getrlimit(syscall.RLIMIT_NOFILE, &r) == nil {
+		files = int(min(r.Cur, maxDescriptors))
+	}
+	return memoryMB, files
+}
+
+// heapFraction is the fraction of the VM's memory that is left to the heap.
+const heapFraction = 0.75
+
+// maxDescriptors bounds the descriptors that are counted on where the process has no lower limit.
+const maxDescriptors = 1 << 16
+
 func readToken(file string) (string, error) {
 	b, err := os.ReadFile(file)
 	return strings.TrimSpace(string(b)), errors.Wrap(err, "reading the operator's token")
--- a/internal/command/node/drainer.go
+++ b/internal/command/node/drainer.go
@@ -141,6 +141,9 @@
 	return n, err
 }
 
+// NetConn returns the underlying connection.
+func (c *callerConn) NetConn() net.Conn { return c.Conn }
+
 // Close closes the connection.
 func (c *callerConn) Close() error {
 	c.d.mu.Lock()
--- a/internal/command/node/entry.go
+++ b/internal/command/node/entry.go
@@ -33,7 +33,6 @@
 	balancerWait   = 2500 * time.Millisecond // until the load balancer sends no more; it needs two failed checks, a second apart
 	listFraction   = 0.5                     // of the list's rate limit, for all entry VMs together; the rest is left to the control VMs
 	slackFraction  = 0.9                     // of the quota slack, for the buckets of all entry VMs together
-	fileFraction   = 0.5                     // of the descriptors, for each server's connections; the rest is left to upstreams and other VMs
 	answerFraction = 1.0 / 16                // of the grace time: from the end of requests still in flight to that of the stop, to send their responses
 )
 
@@ -84,11 +83,13 @@
 		Origins:     newOrigins(n.link, m),
 		Restarts:    m.restarts,
 		Log:         n.Log,
+		Memory:      n.budget,
 	})
 	e.jobs = jobs.NewClient(n.link, m)
 	e.server = httpserver.New(n.Adapters.Callers(e.relay, e.jobs), n.Log)
 	e.server.BaseContext = func(net.Listener) context.Context { return e.requests }
 	e.drainer = newDrainer(e.server)
+	n.guard.Attach(e.server)
 	n.link.Receive(link.Hint, e.hint)
 	n.link.Receive(link.Loads, e.loads)
 	return e, n.registerGauges([]gauge{
@@ -101,14 +102,14 @@
 func (e *entry) run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error {
-		l, err := listen(e.n, e.n.Settings.Callers)
+		l, err := listen(e.n, e.n.Settings.Callers, "callers", fileFraction)
 		if err != nil {
 			return err
 		}
 		return serve(ctx, e.drainer.listen(l), e.server)
 	})
 	g.Go(func() error {
-		return serveHTTP(ctx, e.n, e.n.Settings.Ready, e.n.Adapters.Ready(e.ready))
+		return serveShare(ctx, e.n, e.n.Settings.Ready, "ready", sideFraction, e.n.Adapters.Ready(e.ready))
 	})
 	g.Go(func() error { return e.reportLoads(ctx) })
 	g.Go(func() error { return e.maintain(ctx) })
@@ -183,6 +184,7 @@
 	pruned := time.Now()
 	next := pruned
 	for pause.For(ctx, time.Second) {
+		e.n.budget.CloseSlowReaders(time.Now(), e.pool.Waiting())
 		l, read := e.n.member.Upstreams()
 		if now := time.Now(); now.Sub(read) > listStale && !now.Before(next) {
 			e.readList(ctx)
@@ -240,27 +242,6 @@
 	}
 }
 
-// serveHTTP serves a handler at an address until ctx ends; "" serves none.
-func serveHTTP(ctx context.Context, n *Node, address string, h http.Handler) error {
-	if address == "" {
-		return nil
-	}
-	l, err := listen(n, address)
-	if err != nil {
-		return err
-	}
-	return serve(ctx, l, httpserver.New(h, n.Log))
-}
-
-// listen returns a listener for an HTTP server, whose connections use at most fileFraction of the descriptors.
-func listen(n *Node, address string) (net.Listener, error) {
-	l, err := n.Network.Listen(address)
-	if err != nil {
-		return nil, err
-	}
-	return httpserver.Limit(l, int(fileFraction*float64(n.Settings.MaxFiles))), nil
-}
-
 // serve runs a server until ctx ends, also when its listener ends with http.ErrServerClosed before, so that the other parts of
 // the VM go on until then. Requests keep their context when ctx ends, but lose their connections. Without a BaseContext of the
 // server, theirs is ctx without its end.
--- a/internal/command/node/measure.go
+++ b/internal/command/node/measure.go
@@ -32,7 +32,7 @@
 			return f()
 		}
 	}
-	return m.n.registerGauges([]gauge{
+	return m.n.registerGauges(append(m.n.clientGauges(), []gauge{
 		{"configuration_version", "Version of the configuration in force here.", locked(func() float64 {
 			if m.plan == nil {
 				return 0
@@ -50,7 +50,7 @@
 		{"limited_upstreams", "Upstreams that name a limit.", func() float64 { return float64(m.limits.Len()) }},
 		{"upstream_crashes", "Ends of upstreams that broke off responses here.", func() float64 { return float64(m.crashes.Total()) }},
 		{"vms", "VMs in the directory.", locked(func() float64 { return float64(len(m.vms)) })},
-	})
+	}...))
 }
 
 // groupGauges returns the gauges of a replicated group. They are 0 while r returns nil, that is before the VM has joined.
--- a/internal/command/node/member.go
+++ b/internal/command/node/member.go
@@ -844,6 +844,7 @@
 	if m.plan == nil || p.Version > m.plan.Version {
 		m.n.Log.Info("configuration in force", "version", p.Version, "routes", len(p.Routes))
 		m.plan = p
+		m.n.setHeaders(p.Limits)
 	}
 }
 
--- a/internal/command/node/node.go
+++ b/internal/command/node/node.go
@@ -13,10 +13,12 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
+	"snipetack/internal/coordination/budget"
 	"snipetack/internal/coordination/roster"
 	"snipetack/internal/state/plan"
 	"snipetack/internal/transport/disk"
 	"snipetack/internal/transport/httpconn"
+	"snipetack/internal/transport/httpserver"
 	"snipetack/internal/transport/jobs"
 	"snipetack/internal/transport/link"
 	"snipetack/internal/transport/network"
@@ -76,6 +78,8 @@
 	member *member
 	conns  *httpconn.Pool
 	list   ListProvider
+	guard  *httpserver.Guard
+	budget *budget.Budget
 }
 
 // linkPort returns the port on which VMs of a class accept links. Each class has its own, since VMs of several classes may
@@ -106,6 +110,7 @@
 	c := roster.Class(s.Class)
 	address := net.JoinHostPort(s.IP, strconv.Itoa(linkPort(s, c)))
 	n := &Node{Deps: d}
+	n.buildGuard()
 	n.link = link.New(link.Deps{Self: address, Network: d.Network, Log: d.Log})
 	n.conns = httpconn.New(d.Network)
 	n.list = d.Adapters.List(n.conns, s.List, n.Log)
@@ -150,7 +155,9 @@
 	g.Go(func() error { return n.link.Serve(groupCtx, l) })
 	g.Go(func() error { return n.member.run(groupCtx) })
 	g.Go(func() error { return d.run(groupCtx) })
-	g.Go(func() error { return serveHTTP(groupCtx, n, s.Metrics, n.Telemetry.Handler()) })
+	g.Go(func() error {
+		return serveShare(groupCtx, n, s.Metrics, "metrics", sideFraction, n.Telemetry.Handler())
+	})
 	select {
 	case <-ctx.Done():
 		n.Log.Info("stopping", "grace", s.Grace)
--- a/internal/command/settings/decode.go
+++ b/internal/command/settings/decode.go
@@ -157,6 +157,8 @@
 		"callers":     d.address(&m.Callers, tcp),
 		"operators":   d.address(&m.Operators, tcp),
 		"data_folder": d.Text(&m.DataFolder),
+		"memory_mb":   d.Integer(&m.MemoryMB),
+		"max_files":   d.Integer(&m.MaxFiles),
 	}, "name", "data_centre", "mesh", "callers", "operators")
 	return m
 }
--- a/internal/command/settings/settings.go
+++ b/internal/command/settings/settings.go
@@ -44,6 +44,8 @@
 	Callers    string // for callers, TCP
 	Operators  string // for operators and metrics, TCP
 	DataFolder string // set on keepers only
+	MemoryMB   int    // memory of the VM in MiB; 0 if the settings omit it
+	MaxFiles   int    // descriptors of the process; 0 if the settings omit it
 }
 
 // Keeper reports whether the VM is a keeper, which holds a replica of the groups' logs.
--- a/internal/command/vm/telemetry.go
+++ b/internal/command/vm/telemetry.go
@@ -27,10 +27,16 @@
 	if err != nil {
 		return nil, nil, err
 	}
+	if err := v.registerGauges(); err != nil {
+		return nil, nil, err
+	}
 	callers = v.gateway.Server()
 	callers.Handler = q.Wrap(callers.Handler)
 	m := http.NewServeMux()
 	m.Handle("GET /metrics", t.Handler())
 	m.Handle("/", v.operator.Handler())
-	return callers, httpserver.New(m, v.d.Log), nil
+	operators = httpserver.New(m, v.d.Log)
+	v.guard.Attach(callers)
+	v.guard.Attach(operators)
+	return callers, operators, nil
 }
--- a/internal/command/vm/vm.go
+++ b/internal/command/vm/vm.go
@@ -11,6 +11,7 @@
 
 	"snipetack/internal/command/settings"
 	"snipetack/internal/coordination/batch"
+	"snipetack/internal/coordination/budget"
 	"snipetack/internal/coordination/feed"
 	"snipetack/internal/coordination/queue"
 	"snipetack/internal/coordination/quota"
@@ -20,6 +21,7 @@
 	"snipetack/internal/state/ledger"
 	"snipetack/internal/transport/disk"
 	"snipetack/internal/transport/gateway"
+	"snipetack/internal/transport/httpserver"
 	"snipetack/internal/transport/identity"
 	"snipetack/internal/transport/keeper"
 	"snipetack/internal/transport/mesh"
@@ -39,6 +41,8 @@
 	Token       [32]byte // SHA-256 digest of the fleet operator's token
 	Log         *slog.Logger
 	Telemetry   *telemetry.Telemetry
+	MemoryMB    int // of the VM in MiB; 0 is defaultMemoryMB
+	MaxFiles    int // descriptors of the process; 0 is defaultMaxFiles
 }
 
 // VM is one VM of the fleet. Run is called at most once.
@@ -67,6 +71,8 @@
 	scheduler *batch.Scheduler
 	counter   *batch.Counter
 	placer    *placer
+	budget    *budget.Budget
+	guard     *httpserver.Guard
 }
 
 // New builds a VM; a keeper recovers its state from the disk. It returns an error if the settings don't name the VM or
@@ -78,6 +84,7 @@
 	}
 	v := &VM{d: d, self: s}
 	v.forced, v.forceStop = context.WithCancel(context.Background())
+	v.buildGuard()
 	v.buildMesh()
 	if s.Keeper() {
 		if err := v.buildKeeper(); err != nil {
@@ -108,8 +115,12 @@
 		g.Go(func() error { return f(inner) })
 	}
 	endBatch := v.startBatch(inner)
-	g.Go(func() error { return ignoreServerClosed(h.Serve(v.gateway.Listener(callers))) })
-	g.Go(func() error { return ignoreServerClosed(o.Serve(operators)) })
+	g.Go(func() error {
+		return ignoreServerClosed(h.Serve(v.gateway.Listener(v.guard.Listen(callers, "callers", callerFraction))))
+	})
+	g.Go(func() error {
+		return ignoreServerClosed(o.Serve(v.guard.Listen(operators, "operators", operatorFraction)))
+	})
 	v.d.Log.Info("serving", "vm", v.self.Name, "callers", callers.Addr(), "operators", operators.Addr())
 	select {
 	case <-ctx.Done():
@@ -139,7 +150,7 @@
 // loops returns the functions that run until the VM has stopped, each in a goroutine of its own.
 func (v *VM) loops() []func(context.Context) error {
 	l := []func(context.Context) error{
-		v.mesh.Run, v.follower.Run, v.limiter.Run, v.queue.Run, v.gateway.Run, v.watcher.Run, v.sharer.Run,
+		v.mesh.Run, v.follower.Run, v.limiter.Run, v.queue.Run, v.gateway.Run, v.watcher.Run, v.sharer.Run, v.relieve,
 	}
 	if v.replica != nil {
 		l = append(l, v.replica.Run, v.publisher.Run, v.owner.Run, v.placer.Run)
--- a/internal/state/plan/plan.go
+++ b/internal/state/plan/plan.go
@@ -79,10 +79,10 @@
 	Burst    float64 // size of the token bucket in requests
 }
 
-// Limits bound what a caller may send. Only BodyBytes has an effect so far.
+// Limits bound what a caller may send; 0 sets no limit.
 type Limits struct {
 	HeaderBytes int
-	BodyBytes   int // 0 is no limit
+	BodyBytes   int
 	HeaderTime  time.Duration
 	IdleTime    time.Duration
 }
--- a/internal/transport/batchrun/runner.go
+++ b/internal/transport/batchrun/runner.go
@@ -61,6 +61,7 @@
 	Quarantines *quarantine.List
 	Crashes     *quarantine.Tracker
 	Restarts    *restart.Table
+	Memory      relay.MemoryProvider // of incomplete events; nil is one of its own
 }
 
 // LimitProvider keeps items within the limits that upstreams name.
@@ -117,7 +118,7 @@
 
 // New returns a Runner that gets the online requests from a Hub; the caller lets a change there start a scheduling pass.
 func New(d Deps, h *Hub) *Runner {
-	r := &Runner{d: d, hub: h, memory: relay.NewMemory(eventMemory), wake: make(chan struct{}, 1)}
+	r := &Runner{d: d, hub: h, memory: relay.SharedMemory(d.Memory, eventMemory), wake: make(chan struct{}, 1)}
 	r.reset()
 	return r
 }
--- a/internal/transport/gateway/engine.go
+++ b/internal/transport/gateway/engine.go
@@ -5,11 +5,13 @@
 	"net/http"
 	"unicode/utf8"
 
+	"snipetack/internal/coordination/budget"
 	"snipetack/internal/coordination/queue"
 	"snipetack/internal/protocol/chat"
 	"snipetack/internal/protocol/reply"
 	"snipetack/internal/state/catalog"
 	"snipetack/internal/state/result"
+	"snipetack/internal/transport/httpserver"
 )
 
 // completions serves an engine call.
@@ -40,6 +42,9 @@
 	if len(r.Header.Get(IdempotencyHeader)) > maxIdempotencyKey {
 		return result.New(result.MalformedRequest, "the idempotency key exceeds %d bytes", maxIdempotencyKey)
 	}
+	if f := httpserver.Reserve(r.Context(), chatWeight(b)); f != nil {
+		return f
+	}
 	q, err := decodeChat(b)
 	if err != nil {
 		return err
@@ -88,6 +93,18 @@
 	return nil
 }
 
+// Memory that a decoded chat request takes beside its text.
+const (
+	messageBytes = 200 // a message, and the lists that it was copied from while they grew
+	fieldBytes   = 128 // a field that the request passes on
+)
+
+// chatWeight returns the bytes that a chat request takes beside its body: its prompt and the body for the engine, and decoded fields.
+func chatWeight(b []byte) int64 {
+	s := budget.ShapeOf(b)
+	return 2*int64(len(b)) + messageBytes*int64(s.Objects) + fieldBytes*int64(s.Fields)
+}
+
 func decodeChat(b []byte) (chat.Request, error) {
 	var q chat.Request
 	if !utf8.Valid(b) {
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/google/uuid"
-	"golang.org/x/sync/semaphore"
 
 	"snipetack/internal/coordination/queue"
 	"snipetack/internal/coordination/routing"
@@ -76,7 +75,7 @@
 	d          Deps
 	mux        *http.ServeMux
 	draining   atomic.Bool
-	bodyMemory *semaphore.Weighted         // bytes of request bodies in memory
+	bodies     *httpserver.Bodies
 	mu         sync.Mutex                  // guards admitted and active
 	admitted   map[*admission]struct{}     // requests with a key in flight
 	active     map[*http.Request]*Activity // all requests in flight
@@ -88,7 +87,7 @@
 	g := &Gateway{
 		d:          d,
 		mux:        http.NewServeMux(),
-		bodyMemory: semaphore.NewWeighted(maxBodyMemory),
+		bodies:     httpserver.NewBodies(MaxBody, maxBodyMemory),
 		admitted:   map[*admission]struct{}{},
 		active:     map[*http.Request]*Activity{},
 		keyPattern: newKeyPattern(),
--- a/internal/transport/gateway/listener.go
+++ b/internal/transport/gateway/listener.go
@@ -81,6 +81,9 @@
 	once sync.Once
 }
 
+// NetConn returns the underlying connection.
+func (c *countedConn) NetConn() net.Conn { return c.Conn }
+
 // Close closes the connection.
 func (c *countedConn) Close() error {
 	c.once.Do(func() { c.open.Add(-1) })
--- a/internal/transport/httpserver/bodies.go
+++ b/internal/transport/httpserver/bodies.go
@@ -30,9 +30,9 @@
 }
 
 // Read reads the body of a request; release must be called when it is no longer used. After a failure the connection is closed,
-// as the rest of the body is unread.
+// as the rest of the body is unread. The memory comes from the budget of the request's connection if that is guarded.
 func (b *Bodies) Read(w http.ResponseWriter, r *http.Request) (body []byte, release func(), f *result.Failure) {
-	m := &reservation{memory: b.memory}
+	m := &reservation{memory: b.memory, c: connOf(r.Context())}
 	body, f = readBody(r, m, b.limit)
 	if f != nil {
 		m.release()
@@ -52,7 +52,11 @@
 	if r.ContentLength >= 0 {
 		limit = int(r.ContentLength) + 1 // the last byte is for the read that returns the end
 	}
-	b := make([]byte, 0, min(limit, FreeBody))
+	first := min(limit, m.first())
+	if !m.grow(r, 0, first) {
+		return nil, noRoom()
+	}
+	b := make([]byte, 0, first)
 	for {
 		n, err := r.Body.Read(b[len(b):cap(b)])
 		b = b[:len(b)+n]
@@ -69,29 +73,71 @@
 			continue
 		}
 		grown := min(2*cap(b), limit)
-		if !m.grow(grown - cap(b)) {
-			return nil, result.New(result.QueueFull, "the VM holds too many request bodies").After(retryBody)
+		if r.ContentLength >= 0 && cap(b) >= FreeBody {
+			grown = limit // without copies on the way
+		}
+		if !m.grow(r, cap(b), grown) {
+			return nil, noRoom()
 		}
-		b = append(make([]byte, 0, grown), b...)
+		l := make([]byte, 0, grown)
+		l = append(l, b...)
+		m.shrink(cap(b))
+		b = l
 	}
 }
 
-// reservation is the part of the memory of all bodies, in bytes, that one request holds.
+// firstBuffer is the size of the buffer that a body of a guarded connection begins with.
+const firstBuffer = 4 << 10
+
+// reservation is the part of the memory of all bodies, in bytes, that one request holds. Without a guarded connection it is taken
+// from memory, beside FreeBody.
 type reservation struct {
+	c      *conn
 	memory *semaphore.Weighted
 	held   int64
 }
 
-// grow reserves n more bytes; it returns false if they are not available.
-func (m *reservation) grow(n int) bool {
-	if !m.memory.TryAcquire(int64(n)) {
-		return false
+// first returns the size of a body's first buffer.
+func (m *reservation) first() int {
+	if m.c != nil {
+		return firstBuffer
 	}
-	m.held += int64(n)
+	return FreeBody
+}
+
+// grow reserves a buffer in place of a smaller one, which shrink returns; it returns false if there is no room.
+func (m *reservation) grow(r *http.Request, from, to int) bool {
+	n := int64(to)
+	if m.c != nil {
+		if !m.c.take(r.Context(), n) {
+			return false
+		}
+	} else {
+		n = int64(to - max(from, FreeBody))
+		if n <= 0 {
+			return true
+		}
+		if !m.memory.TryAcquire(n) {
+			return false
+		}
+	}
+	m.held += n
 	return true
 }
 
+// shrink returns a buffer that was copied to a larger one.
+func (m *reservation) shrink(n int) {
+	if m.c != nil {
+		m.c.share.Give(int64(n))
+		m.held -= int64(n)
+	}
+}
+
 func (m *reservation) release() {
-	m.memory.Release(m.held)
+	if m.c != nil {
+		m.c.share.Give(m.held)
+	} else {
+		m.memory.Release(m.held)
+	}
 	m.held = 0
 }
--- a/internal/transport/operator/operator.go
+++ b/internal/transport/operator/operator.go
@@ -1,6 +1,7 @@
 package operator
 
 import (
+	"bytes"
 	"context"
 	"crypto/subtle"
 	"encoding/json"
@@ -9,14 +10,19 @@
 	"time"
 
 	"snipetack/internal/coordination/access"
+	"snipetack/internal/coordination/budget"
 	"snipetack/internal/protocol/reply"
 	"snipetack/internal/state/catalog"
 	"snipetack/internal/state/result"
+	"snipetack/internal/transport/httpserver"
 )
 
 // maxBody bounds an operator's request in bytes.
 const maxBody = 8 << 20
 
+// maxBodies bounds all changes that are being sent, in bytes, without a budget of the process.
+const maxBodies = 4 * maxBody
+
 // CopyProvider is the VM's copy of the configuration.
 type CopyProvider interface {
 	Current() *catalog.Configuration
@@ -46,13 +52,14 @@
 
 // Server serves operators' requests over HTTP and authenticates each by its bearer token.
 type Server struct {
-	d   Deps
-	mux *http.ServeMux
+	d      Deps
+	mux    *http.ServeMux
+	bodies *httpserver.Bodies
 }
 
 // New returns a Server with the routes for the configuration and the VMs. The Mount functions add others.
 func New(d Deps) *Server {
-	s := &Server{d: d, mux: http.NewServeMux()}
+	s := &Server{d: d, mux: http.NewServeMux(), bodies: httpserver.NewBodies(maxBody, maxBodies)}
 	s.mux.HandleFunc("GET /operator/v1/configuration", s.authenticated(s.configuration))
 	s.mux.HandleFunc("POST /operator/v1/changes", s.authenticated(s.change))
 	s.mux.HandleFunc("GET /operator/v1/history", s.authenticated(s.history))
@@ -111,9 +118,30 @@
 	reply.JSON(w, http.StatusOK, configurationOf(s.d.Copy.Current()))
 }
 
+// Memory that a decoded change takes beside its bytes.
+const (
+	opBytes    = 600 // an operation, and the lists that it was copied from while they grew
+	fieldBytes = 64  // a field or an element of a list
+)
+
+// changeWeight returns the bytes that a change takes while it is decoded.
+func changeWeight(b []byte) int64 {
+	x := budget.ShapeOf(b)
+	return opBytes*int64(x.Objects) + fieldBytes*int64(x.Fields+x.Elements)
+}
+
 func (s *Server) change(w http.ResponseWriter, r *http.Request, operator string) {
 	var q changeRequest
-	d := json.NewDecoder(r.Body)
+	b, release, f := s.bodies.Read(w, r)
+	if f == nil {
+		defer release()
+		f = httpserver.Reserve(r.Context(), changeWeight(b))
+	}
+	if f != nil {
+		reply.Failure(w, f)
+		return
+	}
+	d := json.NewDecoder(bytes.NewReader(b))
 	d.DisallowUnknownFields()
 	if err := d.Decode(&q); err != nil {
 		reply.Failure(w, result.New(result.MalformedRequest, "the change can't be read: %v", err))
--- a/internal/transport/relay/memory.go
+++ b/internal/transport/relay/memory.go
@@ -2,9 +2,17 @@
 
 import "golang.org/x/sync/semaphore"
 
+// MemoryProvider counts reserved bytes.
+type MemoryProvider interface {
+	// TryAcquire reserves bytes, or returns false when there is no room for them.
+	TryAcquire(n int64) bool
+	// Release returns reserved bytes.
+	Release(n int64)
+}
+
 // Memory bounds what is kept of responses until it can be sent on, over all requests; it is safe for concurrent use.
 type Memory struct {
-	s *semaphore.Weighted
+	s MemoryProvider
 }
 
 // freeResponseBytes is how much each response may keep in any case.
@@ -15,6 +23,14 @@
 	return &Memory{s: semaphore.NewWeighted(bytes)}
 }
 
+// SharedMemory returns a Memory that takes its bytes from p, or a Memory of so many bytes if p is nil.
+func SharedMemory(p MemoryProvider, bytes int64) *Memory {
+	if p == nil {
+		return NewMemory(bytes)
+	}
+	return &Memory{s: p}
+}
+
 // Reservation is the part of a Memory that one response has taken; it is not safe for concurrent use.
 type Reservation struct {
 	m *Memory
--- a/internal/transport/relay/relay.go
+++ b/internal/transport/relay/relay.go
@@ -28,7 +28,7 @@
 	maxAttempts         = 6                      // of one request, including attempts that no upstream ran
 	chunkBytes          = 16 << 10               // of the read buffer
 	maxBufferedBytes    = 256 << 10              // a response up to this size is sent only once it is complete, if there is room for it
-	responseMemory      = 24 << 20               // bytes of all responses; an entry VM has less than 200 MB
+	responseMemory      = 24 << 20               // bytes of all responses, without a shared memory
 	responseMargin      = 25 * time.Millisecond  // kept free before the deadline to return a response to the caller
 )
 
@@ -47,6 +47,7 @@
 	Origins     OriginProvider
 	Restarts    *restart.Table
 	Log         *slog.Logger
+	Memory      MemoryProvider // of responses that are kept; nil is one of its own
 }
 
 // OriginProvider knows at which version of its service's software each stream began, on any VM.
@@ -102,7 +103,7 @@
 
 // New returns a Relay.
 func New(d Deps) *Relay {
-	return &Relay{d: d, memory: NewMemory(responseMemory), stops: make(chan struct{})}
+	return &Relay{d: d, memory: SharedMemory(d.Memory, responseMemory), stops: make(chan struct{})}
 }
 
 // Active returns the number of requests in progress.
