--- a/internal/command/node/measure.go
+++ b/internal/command/node/measure.go
@@ -35,7 +35,7 @@
 	if err := m.n.Telemetry.GaugeBy("evacuated", "1 for each data centre whose evacuation is in force here, 0 after its end.", "1", "zone", m.evacuated); err != nil {
 		return err
 	}
-	return m.n.registerGauges([]gauge{
+	return m.n.registerGauges(append(m.n.clientGauges(), []gauge{
 		{"evacuation_revision", "Revision of the evacuations in force here.", func() float64 {
 			r, _ := m.evacuations.Known()
 			return float64(r)
@@ -58,7 +58,7 @@
 		{"limited_upstreams", "Upstreams that name a limit.", func() float64 { return float64(m.limits.Len()) }},
 		{"upstream_crashes", "Ends of upstreams that broke off responses here.", func() float64 { return float64(m.crashes.Total()) }},
 		{"vms", "VMs in the directory.", locked(func() float64 { return float64(len(m.vms)) })},
-	})
+	}...))
 }
 
 // groupGauges returns the gauges of a replicated group. They are 0 while r returns nil, that is before the VM has joined.
--- a/internal/command/node/member.go
+++ b/internal/command/node/member.go
@@ -868,6 +868,7 @@
 		if len(m.n.Settings.Zones) == 0 && p.HasHomes() {
 			m.n.Log.Warn("routes or accounts are bound to regions, and the settings name none: they are not served here", "version", p.Version)
 		}
+		m.n.setHeaders(p.Limits)
 	}
 }
 
