dispatch: Spread requests among upstreams of equal estimate

Where no wait is expected at several upstreams of a small fleet, all entry VMs chose the first of the list. A tenth of the share of slots taken is added.

--- a/internal/coordination/dispatch/estimate.go
+++ b/internal/coordination/dispatch/estimate.go
@@ -8,9 +8,10 @@
 
 // Policy of the estimates.
 const (
-	shareChange = 0.1                   // a report that differs by less from what was expected is no news for other VMs
-	shareAge    = time.Second           // unless the newest report before it is older
-	yieldTime   = 30 * time.Millisecond // from when the leading batch VM knows of a request until an item has given way to it
+	shareChange  = 0.1                   // a report that differs by less from what was expected is no news for other VMs
+	shareAge     = time.Second           // unless the newest report before it is older
+	spreadWeight = 0.1                   // of the slots taken; among upstreams where no wait is expected all VMs of a small fleet would choose the first on the list
+	yieldTime    = 30 * time.Millisecond // from when the leading batch VM knows of a request until an item has given way to it
 )
 
 // speed is what this VM knows of the pace of an upstream.
@@ -150,7 +151,7 @@
 	if unit <= 0 {
 		unit = e.Run
 	}
-	return p.expected(now, u).First.Seconds() / unit.Seconds()
+	return p.expected(now, u).First.Seconds()/unit.Seconds() + spreadWeight*taken
 }
 
 // waitsHere reports whether a request waits in the queue although an upstream has a free slot as far as is known: its first event would come too late
