--- a/internal/coordination/roster/codec.go
+++ b/internal/coordination/roster/codec.go
@@ -192,21 +192,28 @@
 			b.Age = d.Duration()
 		case 26:
 			b.Packed = d.Bytes()
-		case 33:
-			b.Cold = append(b.Cold, decodeCold(d))
-		case 35:
-			b.EvacuationRevision = d.Uint()
-		case 36:
-			b.Evacuations = append(b.Evacuations, plan.DecodeEvacuation(d))
-		case 37:
-			b.Evacuates = d.Bool()
 		default:
 			decodeList(&b, f, d)
+			decodePlacement(&b, f, d)
 		}
 	}
 	return b, d.Err()
 }
 
+// decodePlacement decodes the fields of a bulletin that say where requests may go.
+func decodePlacement(b *Bulletin, field int, d *wire.Decoder) {
+	switch field {
+	case 33:
+		b.Cold = append(b.Cold, decodeCold(d))
+	case 35:
+		b.EvacuationRevision = d.Uint()
+	case 36:
+		b.Evacuations = append(b.Evacuations, plan.DecodeEvacuation(d))
+	case 37:
+		b.Evacuates = d.Bool()
+	}
+}
+
 // decodeList reads a field of a bulletin that belongs to the list of upstreams.
 func decodeList(b *Bulletin, field int, d *wire.Decoder) {
 	switch field {
