relay, platform: Hold requests of a VM that has just started

After all VMs were down, entry VMs accept connections 0.3 to 0.5 s before they have a configuration. With contention handling such a request waits for the configuration and the list, for a third of its caller's time and a second at most.

--- a/internal/command/node/entry.go
+++ b/internal/command/node/entry.go
@@ -80,7 +80,12 @@
 	if err != nil {
 		return nil, err
 	}
+	var ready <-chan struct{}
+	if n.Settings.Contention {
+		ready = m.ready
+	}
 	e.relay = relay.New(relay.Deps{
+		Ready:       ready,
 		Upstreams:   n.Adapters.Upstreams(n.conns),
 		Pool:        e.pool,
 		RetryPolicy: dispatch.NewRetryPolicy(),
--- a/internal/command/node/member.go
+++ b/internal/command/node/member.go
@@ -78,6 +78,7 @@
 	warmup           *warmup.Table
 	limits           *throttle.Table                 // of upstreams
 	onLimits         func(limits map[string]float64) // called with all limits of upstreams when one has changed; may be nil
+	ready            chan struct{}                   // closed once there is a configuration and a list of upstreams
 	wake             chan struct{}                   // capacity 1; requests a report before the interval is over
 	reportedEpoch    int64                           // of the leader that has the crashes up to reportedCrash; used by the reporting goroutine only
 	reportedCrash    uint64
@@ -121,7 +122,7 @@
 
 func newMember(n *Node, vm roster.VM) *member {
 	m := &member{n: n, vm: vm, incarnation: time.Now().UnixNano(), failedAt: map[string]time.Time{}, staleUntil: map[string]time.Time{}, quarantines: quarantine.NewList(), history: origin.NewHistory(), batchListed: map[string]time.Time{},
-		departures: departure.NewTable(), evacuations: evacuation.NewTable(), wake: make(chan struct{}, 1)}
+		departures: departure.NewTable(), evacuations: evacuation.NewTable(), wake: make(chan struct{}, 1), ready: make(chan struct{})}
 	m.limits = throttle.NewTable(func(map[string]float64) { m.publishLimits() })
 	m.crashes = quarantine.NewTracker(m.upstreamCrashed)
 	m.restarts = restart.New(m.upstreamBack)
@@ -869,6 +870,19 @@
 			m.n.Log.Warn("routes or accounts are bound to regions, and the settings name none: they are not served here", "version", p.Version)
 		}
 		m.n.setHeaders(p.Limits)
+		m.noteReady()
+	}
+}
+
+// noteReady closes ready once this VM has a configuration and a list of upstreams. m.mu is held.
+func (m *member) noteReady() {
+	if m.plan == nil || len(m.usable) == 0 {
+		return
+	}
+	select {
+	case <-m.ready:
+	default:
+		close(m.ready)
 	}
 }
 
@@ -909,6 +923,9 @@
 	if m.onList != nil {
 		m.onList(l)
 	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.noteReady()
 }
 
 // departures observes the announcements of upstreams that leave for a member.
--- a/internal/transport/relay/relay.go
+++ b/internal/transport/relay/relay.go
@@ -21,6 +21,7 @@
 const (
 	minAttemptTime      = 20 * time.Millisecond  // with less time left no attempt is made; it could not complete
 	minRetryAfter       = 100 * time.Millisecond // of requests for which there was no room; by then the loads of other VMs are known here
+	maxReadyWait        = time.Second            // of a request at a VM that has just started; usually it can serve within half of it
 	electionRetryAfter  = 600 * time.Millisecond // while there is no configuration: about the time of an election
 	upstreamsRetryAfter = time.Second            // of a service without upstreams: about the age of the list of upstreams
 	retryAfterSpread    = 0.5                    // random addition to each Retry-After, as a fraction, so that callers do not return simultaneously
@@ -47,7 +48,8 @@
 	Origins     OriginProvider
 	Restarts    *restart.Table
 	Log         *slog.Logger
-	Memory      MemoryProvider // of responses that are kept; nil is one of its own
+	Memory      MemoryProvider  // of responses that are kept; nil is one of its own
+	Ready       <-chan struct{} // closed once there is a configuration and a list of upstreams; nil if requests don't wait for that
 }
 
 // OriginProvider knows at which version of its service's software each stream began, on any VM.
@@ -135,6 +137,34 @@
 	return result.New(result.Draining, "the VM stops before the request would be served")
 }
 
+// AwaitReady waits until a VM that has just started can serve a request. It ends after a third of the caller's time, so that a caller that is
+// refused can still reach another VM.
+//
+// It responds to callers that come back all at once after all VMs were down: a refused one loses its next attempt, although this VM has the
+// configuration within about half a second.
+func (r *Relay) AwaitReady(ctx context.Context, q *Request) {
+	if r.d.Ready == nil {
+		return
+	}
+	limit := maxReadyWait
+	if q.Deadline > 0 {
+		limit = min(limit, q.Deadline/3)
+	}
+	select {
+	case <-r.d.Ready:
+		return
+	default:
+	}
+	t := time.NewTimer(limit)
+	defer t.Stop()
+	select {
+	case <-r.d.Ready:
+		r.d.Log.Info("request waited for the start", "request", q.ID, "waited", time.Since(q.Arrived))
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
 // Admitted is a request with what the configuration determines for it.
 type Admitted struct {
 	*Request
