budget: Let the last of equal requests yield

Which of the bodies that wait for room yielded was decided by the order of a map, so a request that came first could be passed by one that the room was not freed for.

--- a/internal/coordination/budget/budget.go
+++ b/internal/coordination/budget/budget.go
@@ -171,12 +171,12 @@
 	return victims, false
 }
 
-// junior returns the connection with the largest body that waits for room and comes after c, or nil. Without a choice among them,
-// requests with parts of their bodies would wait for each other.
+// junior returns the connection with the largest body that waits for room and comes after c, the last of equal ones, or nil. Without a
+// choice among them, requests with parts of their bodies would wait for each other.
 func (b *Budget) junior(c *Conn) *Conn {
 	var w *Conn
 	for x := range b.open {
-		if x != c && x.waiting && !x.yielded && !x.evicted && x.bytes > SmallBytes && c.claim(x) && (w == nil || x.bytes > w.bytes) {
+		if x != c && x.waiting && !x.yielded && !x.evicted && x.bytes > SmallBytes && c.claim(x) && (w == nil || x.bytes > w.bytes || x.bytes == w.bytes && w.claim(x)) {
 			w = x
 		}
 	}
