--- a/internal/coordination/dispatch/pace_model_test.go
+++ b/internal/coordination/dispatch/pace_model_test.go
@@ -7,6 +7,8 @@
 	"os"
 	"slices"
 	"strconv"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -88,9 +90,9 @@
 type paceVM struct {
 	zone    string
 	pool    *dispatch.Pool
-	open    map[string]bool
+	open    sync.Map // addresses with an idle connection; the pool also asks from its timers
 	waiting []*paceStream
-	urgent  bool
+	urgent  atomic.Bool
 }
 
 type paceStream struct {
@@ -134,8 +136,8 @@
 		list = append(list, e.list)
 	}
 	for i := range paceVMs {
-		v := &paceVM{zone: fmt.Sprint(i % paceZones), open: map[string]bool{}}
-		v.pool = dispatch.New(dispatch.Deps{Zone: v.zone, Connected: func(a string) bool { return v.open[a] }, OnPreemption: func(dispatch.Choice) { v.urgent = true },
+		v := &paceVM{zone: fmt.Sprint(i % paceZones)}
+		v.pool = dispatch.New(dispatch.Deps{Zone: v.zone, Connected: func(a string) bool { _, ok := v.open.Load(a); return ok }, OnPreemption: func(dispatch.Choice) { v.urgent.Store(true) },
 			LoadAge: func() time.Duration { return paceAge }})
 		v.pool.SetUpstreams(s.began, list)
 		s.vms = append(s.vms, v)
@@ -224,11 +226,11 @@
 func (s *paces) tell() {
 	now := s.clock()
 	for i, v := range s.vms {
-		if !v.urgent && (s.now+time.Duration(i)*paceTick)%paceReport != 0 {
+		if !v.urgent.Load() && (s.now+time.Duration(i)*paceTick)%paceReport != 0 {
 			continue
 		}
-		m, l, urgent := v.pool.InFlight(), v.pool.TakePaces(now), v.urgent
-		v.urgent = false
+		m, l, urgent := v.pool.InFlight(), v.pool.TakePaces(now), v.urgent.Load()
+		v.urgent.Store(false)
 		d := 30 * time.Millisecond
 		if urgent {
 			d = 3 * time.Millisecond
@@ -381,7 +383,7 @@
 
 // send sends a stream to an engine.
 func (s *paces) send(c *paceStream, x dispatch.Choice) {
-	delete(c.vm.open, x.Address)
+	c.vm.open.Delete(x.Address)
 	var e *paceEngine
 	for _, y := range s.engines {
 		if y.list.ID == x.ID {
@@ -420,7 +422,7 @@
 			onEnd: func() {
 				s.after(delay, func() {
 					c.vm.pool.End(s.clock(), x)
-					c.vm.open[x.Address] = true
+					c.vm.open.Store(x.Address, true)
 					if s.now-c.sent <= paceDeadline {
 						s.served++
 						if !late {
