--- /dev/null
+++ b/review/standin2/memory.go
@@ -0,0 +1,148 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Doses of the cases on memory.
+const (
+	itemReaders    = 70 // at each front
+	sentAhead      = 4  // requests of a reader
+	itemBody       = 2900 << 10
+	readerRounds   = 4
+	readersTime    = 9 * time.Second // of a round
+	roundPause     = 3 * time.Second
+	fieldsOfAnItem = 120_000
+	fewFields      = 10
+	sendTime       = 70 * time.Second
+	quietTime      = 5 * time.Second
+	readTime       = 15 * time.Second
+)
+
+// Bounds of the rule on processes that end by themselves: so many times on a tenth of the machines, and on two at least.
+const (
+	faultEnds     = 3
+	faultMachines = 2
+)
+
+// checkEnds checks the rule on processes that end by themselves, which includes those over their memory.
+func (x *stage) checkEnds() {
+	x.notePeaks()
+	x.mu.Lock()
+	n, ends := 0, ""
+	for _, m := range x.Machines {
+		if k := x.kills[m.Name]; k > 0 {
+			ends += fmt.Sprintf(" %s %d", m.Name, k)
+			if k >= faultEnds {
+				n++
+			}
+		}
+	}
+	x.mu.Unlock()
+	x.note("killed for memory over the limit, times:%s", ends)
+	if n >= faultMachines && 10*n >= len(x.Machines) {
+		x.broke("on %d of %d machines the process used more than its memory %d times or more", n, len(x.Machines), faultEnds)
+	}
+}
+
+// playItemReaders lets clients at each front read the body of one open item slowly, after they have sent a few requests ahead.
+func playItemReaders(ctx context.Context, x *stage) {
+	const job, open = "7c41e09b52d6a3f8", "e5b2907c14da6f38"
+	if !x.submit(ctx, job, []item{newItem(open, make([]byte, itemBody), 9000)}, key, 5) {
+		x.cannot("the job was not accepted")
+		return
+	}
+	path := "/snipetack/items/" + job + "?id=" + open
+	if a := x.call(ctx, "GET", x.fronts()[0], path, nil, nil); a.status != http.StatusOK || len(a.body) != itemBody {
+		x.cannot("the item's body: %s", a)
+		return
+	}
+	for range readerRounds {
+		if x.trouble {
+			x.crowd(ctx, path)
+			x.note("%d clients at each front have read the item's body slowly for %s", itemReaders, readersTime)
+		} else {
+			x.note("%d reads of the item's body, one after another", x.readInTurn(ctx, path))
+		}
+		time.Sleep(roundPause)
+	}
+	x.checkEnds()
+}
+
+// crowd is one round of slow readers at all fronts.
+func (x *stage) crowd(ctx context.Context, path string) {
+	ctx, cancel := context.WithTimeout(ctx, readersTime)
+	defer cancel()
+	var g sync.WaitGroup
+	for range itemReaders {
+		for _, f := range x.fronts() {
+			g.Go(func() { readSlowly(ctx, f, path) })
+		}
+		time.Sleep(sampleTime)
+	}
+	g.Wait()
+}
+
+// readInTurn makes as many requests as a round of slow readers at one front, and returns how many of them got the whole body.
+func (x *stage) readInTurn(ctx context.Context, path string) int {
+	n := 0
+	for i := range itemReaders {
+		if a := x.call(ctx, "GET", x.fronts()[i%len(x.fronts())], path, nil, nil); a.status == http.StatusOK && len(a.body) == itemBody {
+			n++
+		}
+	}
+	return n
+}
+
+// playJobFields lets a client submit jobs of legal size with very many short fields, after another tenant's job was accepted.
+func playJobFields(ctx context.Context, x *stage) {
+	const first, second = "19aa03b7c2d44e05", "5de01bb2907a4c11"
+	if !x.submit(ctx, first, []item{newItem("0b4c7de1a9f35526", []byte("statement"), 600)}, otherKey, 5) {
+		x.cannot("the job of the other tenant was not accepted")
+		return
+	}
+	accepted := 0
+	for i := uint64(0); ctx.Err() == nil && time.Since(x.began) < sendTime; i++ {
+		fields := fieldsOfAnItem
+		switch {
+		case !x.trouble:
+			fields = fewFields
+		case x.ends() > 0:
+			fields = fieldsOfAnItem / 5
+		}
+		n := newItem(fmt.Sprintf("%016x", 0xe5b2907c00000000+i), []byte("x"), 60)
+		for k := range fields {
+			n.Headers[fmt.Sprintf("%x", k)] = ""
+		}
+		if x.submit(ctx, fmt.Sprintf("%016x", 0x7c41e09b00000000+i), []item{n}, key, 2) {
+			accepted++
+		}
+		if !x.trouble {
+			time.Sleep(time.Second)
+		}
+	}
+	x.note("%d jobs accepted; no more are sent", accepted)
+	before := x.ends()
+	time.Sleep(quietTime)
+	x.submit(ctx, second, []item{newItem("77c1de90ab3f5526", []byte("statement"), 60)}, otherKey, 3)
+	if p, ok := x.read(ctx, first, otherKey, readTime); ok {
+		x.note("the first job of the other tenant: %d results of %d", len(p.Results), p.Total)
+	}
+	x.note("%d kills while the jobs were sent, %d later", before, x.ends()-before)
+	x.checkEnds()
+}
+
+// ends returns how often the platform killed processes for their memory.
+func (x *stage) ends() int {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	n := 0
+	for _, k := range x.kills {
+		n += k
+	}
+	return n
+}
