review: Add case 6, streams that join events of two software versions

Tried: a replica that starts again under its id with another version while the list lags, and crashes later.

--- a/review/standin2/memory.go
+++ b/review/standin2/memory.go
@@ -10,8 +10,8 @@
 
 // Doses of the cases on memory.
 const (
-	itemReaders    = 70 // at each front
-	sentAhead      = 4  // requests of a reader
+	itemReaders    = 120 // at each front
+	sentAhead      = 4   // requests of a reader
 	itemBody       = 2900 << 10
 	readerRounds   = 4
 	readersTime    = 9 * time.Second // of a round
--- a/review/standin2/replica.go
+++ b/review/standin2/replica.go
@@ -1,9 +1,12 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -12,10 +15,14 @@
 
 // Speed of a replica.
 const (
-	slots     = 8
-	queue     = 24
-	stride    = 6 // tokens of an event
-	eventTime = 20 * time.Millisecond
+	slots       = 8
+	queue       = 24
+	stride      = 6 // tokens of an event
+	eventTime   = 20 * time.Millisecond
+	listLag     = 800 * time.Millisecond // of the list
+	idleTimeout = 1 * time.Second        // after which an idle connection is closed
+	maxHead     = 16 << 20               // bytes of a head
+	shortPath   = "/puxa403/"            // of requests with a short answer, which take no slot
 )
 
 // replica stands in for a model replica: it runs requests one in each slot and streams their events.
@@ -27,12 +34,92 @@
 	mu      sync.Mutex
 	waiting int
 	begun   map[string]int // runs, by request id
+	version string         // of its software
+	born    time.Time
+	shown   []entry // what the list shows, the newest last
+	server  *http.Server
+	short   []arrival
 }
 
 func newReplica(r *record, id, address, zone string) *replica {
 	return &replica{record: r, id: id, address: address, zone: zone, slots: make(chan struct{}, slots), begun: map[string]int{}}
 }
 
+// entry is what the list says of a replica from some time on.
+type entry struct {
+	from    time.Time
+	version string
+	born    time.Time
+}
+
+// start lets the replica serve with a version of its software.
+func (p *replica) start(version string) error {
+	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", p.address)
+	if err != nil {
+		return err
+	}
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	e := entry{from: now.Add(listLag), version: version, born: now}
+	if len(p.shown) == 0 {
+		e.from = now
+	}
+	p.version, p.shown = version, append(p.shown, e)
+	p.server = &http.Server{Handler: p, ReadHeaderTimeout: time.Minute, MaxHeaderBytes: maxHead, IdleTimeout: idleTimeout}
+	go func(s *http.Server) { _ = s.Serve(l) }(p.server)
+	return nil
+}
+
+// stop lets the replica crash: its connections end at once.
+func (p *replica) stop() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_ = p.server.Close()
+}
+
+// listed returns what the list shows of the replica.
+func (p *replica) listed() entry {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	e := p.shown[0]
+	for _, n := range p.shown {
+		if !n.from.After(time.Now()) {
+			e = n
+		}
+	}
+	return e
+}
+
+// softwareVersion returns the version that the replica runs.
+func (p *replica) softwareVersion() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.version
+}
+
+// arrival is a request with a short answer.
+type arrival struct {
+	id string
+	at time.Time
+}
+
+// arrivals returns the requests with short answers that have run.
+func (p *replica) arrivals() []arrival {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.short)
+}
+
+// answer runs a request with a short answer.
+func (p *replica) answer(w http.ResponseWriter, id string) {
+	p.mu.Lock()
+	p.short = append(p.short, arrival{id, time.Now()})
+	p.mu.Unlock()
+	w.Header().Set("X-Snipetack-Server-Stamp", "stamp."+p.id+"."+id)
+	_, _ = io.WriteString(w, "done")
+}
+
 func (p *replica) addWaiting(n int) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -48,6 +135,7 @@
 		h.Set("X-Snipetack-Instance-Id", p.id)
 		return
 	}
+	h.Set("Keep-Alive", fmt.Sprintf("timeout=%d", int(idleTimeout.Seconds())))
 	id := r.Header.Get("X-Snipetack-Request-Id")
 	h.Set("X-Snipetack-Request-Id", id)
 	if e := r.Header.Get("X-Snipetack-Expect-Instance"); e != "" && e != p.id {
@@ -61,6 +149,10 @@
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		return
 	}
+	if strings.HasPrefix(r.URL.Path, shortPath) {
+		p.answer(w, id)
+		return
+	}
 	if p.addWaiting(1) > queue {
 		p.addWaiting(-1)
 		refuse(w, http.StatusServiceUnavailable)
@@ -99,6 +191,7 @@
 	w.Header().Set("X-Snipetack-Server-Stamp", "stamp."+p.id+"."+id)
 	w.Header().Set("X-Snipetack-Weight-Versions", "1")
 	w.Header().Set("Content-Type", "text/event-stream")
+	version := p.softwareVersion()
 	c := http.NewResponseController(w)
 	for i := last + 1; i <= (tokens+stride-1)/stride; i++ {
 		select {
@@ -106,7 +199,7 @@
 		case <-r.Context().Done():
 			return
 		}
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: %d of %s\n\n", i, i, id); err != nil {
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: %d of %s by %s\n\n", i, i, id, version); err != nil {
 			return
 		}
 		if c.Flush() != nil {
--- a/review/standin2/stage.go
+++ b/review/standin2/stage.go
@@ -38,7 +38,6 @@
 	kilobytes    = 1 << 10
 	filePerm     = 0o600
 	foldersPerm  = 0o700
-	maxHead      = 16 << 20 // bytes
 	servicesName = "modeller"
 	host         = "ficu95.example"
 	key          = "2b9wu3fexd9dnn2ctnfz"
@@ -58,6 +57,11 @@
 
 func (p plan) ip(kind, i int) string { return fmt.Sprintf("127.%d.%d.%d", p.Subnet, kind, i) }
 
+// bindIP returns the address at which a core machine listens for links; others reach it through a proxy.
+func (p plan) bindIP(m machine) string {
+	return strings.Replace(m.IP, fmt.Sprintf("127.%d.1.", p.Subnet), fmt.Sprintf("127.%d.11.", p.Subnet), 1)
+}
+
 // list returns the address of the platform's list.
 func (p plan) list() string { return net.JoinHostPort(p.ip(4, 1), listPort) }
 
@@ -109,12 +113,14 @@
 		"data": "", "callers": "", "ready": "", "operators": "", "metrics": net.JoinHostPort(m.IP, "9464"),
 		"list": map[string]any{"address": p.list(), "rate_per_s": 40, "lag_ms": 800}, "losses": 1, "cores": 1, "memory_mb": m.MemoryMB, "max_files": 4200,
 		"grace_s": 8, "stale_after_s": 0, "quota_slack": 20, "retention_s": 120,
+		"bind_ip":   m.IP,
 		"zones":     map[string]string{"ch-mitte-a": "ch-mitte", "ch-mitte-b": "ch-mitte", "ch-mitte-c": "ch-mitte"},
 		"contracts": []string{"base", "drain", "config", "cost", "recover", "batch", "stream", "engine", "tenants", "quota"}}
 	switch m.Class {
 	case "entry":
 		x["callers"], x["ready"] = net.JoinHostPort(m.IP, frontPort), net.JoinHostPort(m.IP, readyPort)
 	case "control":
+		x["bind_ip"] = p.bindIP(m)
 		x["operators"] = net.JoinHostPort(m.IP, controlPort)
 		x["data"] = filepath.Join(dir, m.Name)
 	default:
@@ -138,6 +144,7 @@
 	dir      string
 	trouble  bool
 	replicas []*replica
+	proxies  []*proxy // of the core machines
 
 	mu    sync.Mutex
 	peaks map[string]int // MiB, by machine
@@ -157,7 +164,7 @@
 	zones := []string{"ch-mitte-a", "ch-mitte-b", "ch-mitte-c"}
 	for i := range replicas {
 		p := newReplica(r, fmt.Sprint("i-", i+1), net.JoinHostPort(x.ip(5, i+1), replicaPort), zones[i%len(zones)])
-		if err := listenAndServe(p.address, p); err != nil {
+		if err := p.start(oldVersion); err != nil {
 			return nil, err
 		}
 		x.replicas = append(x.replicas, p)
@@ -165,6 +172,17 @@
 	if err := listenAndServe(x.list(), http.HandlerFunc(x.serveList)); err != nil {
 		return nil, err
 	}
+	for _, m := range x.Machines {
+		if m.Class != "control" {
+			continue
+		}
+		port := strconv.Itoa(firstPort + 1)
+		p, err := newProxy(net.JoinHostPort(m.IP, port), net.JoinHostPort(x.bindIP(m), port))
+		if err != nil {
+			return nil, err
+		}
+		x.proxies = append(x.proxies, p)
+	}
 	go x.watchMemory()
 	r.note("memory in MiB: front %d, core %d, store %d; with disruption: %t", s.memory.front, s.memory.core, s.memory.store, x.trouble)
 	return x, nil
@@ -175,7 +193,7 @@
 	if err != nil {
 		return err
 	}
-	s := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute, MaxHeaderBytes: maxHead}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
 	go func() { _ = s.Serve(l) }()
 	return nil
 }
@@ -184,8 +202,9 @@
 func (x *stage) serveList(w http.ResponseWriter, _ *http.Request) {
 	var l []map[string]any
 	for _, p := range x.replicas {
-		l = append(l, map[string]any{"id": p.id, "service": servicesName, "addr": p.address, "zone": p.zone, "version": "v1", "slots": slots,
-			"state": "ready", "coldLeftMs": 0})
+		e := p.listed()
+		l = append(l, map[string]any{"id": p.id, "service": servicesName, "addr": p.address, "zone": p.zone, "version": e.version, "slots": slots,
+			"state": "ready", "coldLeftMs": 0, "born": e.born.UnixMilli()})
 	}
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(map[string]any{"instances": l, "nextToken": nil})
