--- a/review/standin2/client.go
+++ b/review/standin2/client.go
@@ -134,7 +134,7 @@
 	if err != nil {
 		return
 	}
-	defer c.Close()
+	defer func() { _ = c.Close() }()
 	defer context.AfterFunc(ctx, func() { _ = c.Close() })()
 	if t, ok := c.(*net.TCPConn); ok {
 		_ = t.SetReadBuffer(4 * kilobytes)
--- a/review/standin2/proxy.go
+++ b/review/standin2/proxy.go
@@ -60,7 +60,7 @@
 
 // serve forwards one connection once it is known which machine has dialled.
 func (p *proxy) serve(c net.Conn) {
-	defer c.Close()
+	defer func() { _ = c.Close() }()
 	_ = c.SetReadDeadline(time.Now().Add(greetingTime))
 	head := make([]byte, lengthBytes)
 	if _, err := io.ReadFull(c, head); err != nil {
@@ -84,7 +84,7 @@
 	if err != nil {
 		return
 	}
-	defer t.Close()
+	defer func() { _ = t.Close() }()
 	if _, err := t.Write(append(head, frame...)); err != nil {
 		return
 	}
--- a/review/standin2/replica.go
+++ b/review/standin2/replica.go
@@ -35,8 +35,7 @@
 	waiting int
 	begun   map[string]int // runs, by request id
 	version string         // of its software
-	born    time.Time
-	shown   []entry // what the list shows, the newest last
+	shown   []entry        // what the list shows, the newest last
 	server  *http.Server
 	short   []arrival
 }
