--- a/review/standin2/memory.go
+++ b/review/standin2/memory.go
@@ -16,7 +16,7 @@
 	readerRounds   = 4
 	readersTime    = 9 * time.Second // of a round
 	roundPause     = 3 * time.Second
-	fieldsOfAnItem = 120_000
+	fieldsOfAnItem = 45_000
 	fewFields      = 10
 	fieldsPause    = 50 * time.Millisecond
 	ordinaryItems  = 10
@@ -130,7 +130,7 @@
 		case !x.trouble:
 			fields = fewFields
 		case x.ends() > 0:
-			fields = fieldsOfAnItem / 5
+			fields = fieldsOfAnItem / 3
 		}
 		n := newItem(fmt.Sprintf("%016x", 0xe5b2907c00000000+i), []byte("x"), 60)
 		for k := range fields {
