--- a/review/standin2/client.go
+++ b/review/standin2/client.go
@@ -48,6 +48,9 @@
 	for k, v := range header {
 		r.Header.Set(k, v)
 	}
+	if r.Header.Get("X-Api-Key") == "" {
+		r.Header.Del("X-Api-Key")
+	}
 	a, err := t.RoundTrip(r)
 	if err != nil {
 		return answer{err: err}
@@ -75,19 +78,22 @@
 		Headers: map[string]string{"X-Snipetack-Model": "m", "X-Snipetack-Token-Count": fmt.Sprintf("100,%d", tokens), "X-Snipetack-Prompt-Prefix": id + ":100"}}
 }
 
-// submit sends a batch job to the fronts in turn until it is accepted, and reports whether it is.
-func (x *stage) submit(ctx context.Context, id string, items []item, apiKey string, attempts int) bool {
+// sendJob submits a batch job under a path by one call, with a key or without one.
+func (x *stage) sendJob(ctx context.Context, front, prefix, id string, items []item, apiKey string) answer {
 	b, err := json.Marshal(map[string]any{"requests": items})
 	if err != nil {
-		x.cannot("%v", err)
-		return false
+		return answer{err: err}
 	}
+	a := x.call(ctx, "POST", front, prefix+id, b, map[string]string{"X-Snipetack-Request-Id": id, "Content-Type": "application/json", "X-Api-Key": apiKey})
+	x.note("job %s of %d bytes: %s", id, len(b), a)
+	return a
+}
+
+// submit sends a batch job to the fronts in turn until it is accepted, and reports whether it is.
+func (x *stage) submit(ctx context.Context, id string, items []item, apiKey string, attempts int) bool {
 	fronts := x.fronts()
 	for i := range attempts {
-		a := x.call(ctx, "POST", fronts[i%len(fronts)], "/pule252/"+id, b, map[string]string{"X-Snipetack-Request-Id": id, "Content-Type": "application/json",
-			"X-Api-Key": apiKey})
-		x.note("job %s of %d bytes, attempt %d: %s", id, len(b), i+1, a)
-		if a.status == http.StatusAccepted {
+		if x.sendJob(ctx, fronts[i%len(fronts)], "/pule252/", id, items, apiKey).status == http.StatusAccepted {
 			return true
 		}
 		time.Sleep(retryTime)
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -34,6 +34,7 @@
 	return map[string]scenario{
 		"item-readers": {fronts: 2, memory: small, play: playItemReaders},
 		"founding":     {fronts: 2, memory: small, start: (*stage).killFirstLeader, play: playFounding},
+		"item-headers": {fronts: 2, memory: small, play: playItemHeaders},
 		"quota":        {fronts: 2, memory: small, play: playQuota},
 		"versions":     {fronts: 1, memory: small, play: playVersions},
 		"job-fields":   {fronts: 2, memory: small, play: playJobFields},
--- a/review/standin2/memory.go
+++ b/review/standin2/memory.go
@@ -10,10 +10,10 @@
 
 // Doses of the cases on memory.
 const (
-	itemReaders    = 120 // at each front
+	itemReaders    = 130 // at each front
 	sentAhead      = 4   // requests of a reader
 	itemBody       = 2900 << 10
-	readerRounds   = 4
+	readerRounds   = 6
 	readersTime    = 9 * time.Second // of a round
 	roundPause     = 3 * time.Second
 	fieldsOfAnItem = 45_000
--- a/review/standin2/replica.go
+++ b/review/standin2/replica.go
@@ -38,6 +38,7 @@
 	shown   []entry        // what the list shows, the newest last
 	server  *http.Server
 	short   []arrival
+	seen    []headersSeen
 }
 
 func newReplica(r *record, id, address, zone string) *replica {
@@ -97,6 +98,13 @@
 	return p.version
 }
 
+// headers returns what came with the streams and items that have run.
+func (p *replica) headers() []headersSeen {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.seen)
+}
+
 // arrival is a request with a short answer.
 type arrival struct {
 	id string
@@ -177,6 +185,7 @@
 func (p *replica) stream(w http.ResponseWriter, r *http.Request, id string) {
 	p.mu.Lock()
 	p.begun[id]++
+	p.seen = append(p.seen, headersSeen{id, r.Header.Get("X-Snipetack-Tenant"), r.Header.Get("X-Api-Key")})
 	p.mu.Unlock()
 	_, out, _ := strings.Cut(r.Header.Get("X-Snipetack-Token-Count"), ",")
 	tokens, err := strconv.Atoi(out)
