--- a/review/standin2/memory.go
+++ b/review/standin2/memory.go
@@ -13,6 +13,7 @@
 	itemReaders    = 130 // at each front
 	sentAhead      = 4   // requests of a reader
 	itemBody       = 2900 << 10
+	itemTokens     = 24_000 // so that the item runs through all rounds
 	readerRounds   = 6
 	readersTime    = 9 * time.Second // of a round
 	roundPause     = 3 * time.Second
@@ -55,7 +56,7 @@
 // playItemReaders lets clients at each front read the body of one open item slowly, after they have sent a few requests ahead.
 func playItemReaders(ctx context.Context, x *stage) {
 	const job, open = "7c41e09b52d6a3f8", "e5b2907c14da6f38"
-	if !x.submit(ctx, job, []item{newItem(open, make([]byte, itemBody), 9000)}, key, 5) {
+	if !x.submit(ctx, job, []item{newItem(open, make([]byte, itemBody), itemTokens)}, key, 5) {
 		x.cannot("the job was not accepted")
 		return
 	}
