--- a/review/standin2/stage.go
+++ b/review/standin2/stage.go
@@ -29,7 +29,7 @@
 
 // Sizes and times.
 const (
-	replicas     = 3
+	replicas     = 9
 	sampleTime   = 20 * time.Millisecond
 	serviceTime  = 30 * time.Second // until the fleet serves
 	retryTime    = 200 * time.Millisecond
--- a/review/standin2/versions.go
+++ b/review/standin2/versions.go
@@ -14,7 +14,7 @@
 	idleTime     = 4 * time.Second        // without requests, so that replicas close idle connections
 	downTime     = 300 * time.Millisecond // of the replica that starts again with another version
 	streamsAfter = 200 * time.Millisecond // from its start to the streams
-	streams      = 12
+	streams      = 54
 	streamTokens = 1080 // 180 events
 	crashAfter   = 2 * time.Second
 	crashTime    = time.Second
