--- a/review/standin2/founding.go
+++ b/review/standin2/founding.go
@@ -13,11 +13,11 @@
 
 // Doses of the case on the first start.
 const (
-	killAfter    = 700 * time.Millisecond // from the election of the first control leader
+	killAfter    = 1200 * time.Millisecond // from the election of the first control leader
 	electionTime = 10 * time.Second
 	pollTime     = 5 * time.Millisecond
 	leadTime     = 10 * time.Second // from the start of the machines to the start of traffic
-	playedTime   = 50 * time.Second
+	playedTime   = 40 * time.Second
 	requestPause = 500 * time.Millisecond
 	jobEvery     = 4 // requests between jobs
 )
