platform: Decide at the exit which headers an upstream gets

An item with a Last-Event-Id of its own ends as errored.

Cause: reserved headers were dropped where a caller's request is read. Items enter through a job and kept what was submitted; outgoing set the account only if there was one.

Names that differ in case only are resolved the same way at each run.

--- a/internal/command/cli/node.go
+++ b/internal/command/cli/node.go
@@ -80,7 +80,7 @@
 		List: func(p *httpconn.Pool, address string, log *slog.Logger) node.ListProvider {
 			return platform.NewList(p, address, log)
 		},
-		Callers:   func(r *relay.Relay, j *jobs.Client) http.Handler { return platform.NewCaller(r, j) },
+		Callers:   func(r *relay.Relay, j *jobs.Client, l *slog.Logger) http.Handler { return platform.NewCaller(r, j, l) },
 		Ready:     platform.Ready,
 		Operators: func(c node.ControlProvider) http.Handler { return platform.NewOperator(c) },
 	}
--- a/internal/command/node/entry.go
+++ b/internal/command/node/entry.go
@@ -102,7 +102,7 @@
 		Memory:      n.budget,
 	})
 	e.jobs = jobs.NewClient(n.link, m)
-	e.server = httpserver.New(n.Adapters.Callers(e.relay, e.jobs), n.Log)
+	e.server = httpserver.New(n.Adapters.Callers(e.relay, e.jobs, n.Log), n.Log)
 	e.server.BaseContext = func(net.Listener) context.Context { return e.requests }
 	e.drainer = newDrainer(e.server)
 	n.guard.Attach(e.server)
--- a/internal/command/node/node.go
+++ b/internal/command/node/node.go
@@ -59,7 +59,7 @@
 	Upstreams  func(p *httpconn.Pool) relay.UpstreamProvider
 	Segments   func(headers map[string]string) []string // ids of a prompt's segments that other requests may share, from an item's headers
 	List       func(p *httpconn.Pool, address string, log *slog.Logger) ListProvider
-	Callers    func(r *relay.Relay, j *jobs.Client) http.Handler
+	Callers    func(r *relay.Relay, j *jobs.Client, log *slog.Logger) http.Handler
 	Ready      func(ready func() bool) http.Handler
 	Operators  func(c ControlProvider) http.Handler
 }
--- a/internal/transport/batchrun/carry.go
+++ b/internal/transport/batchrun/carry.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"net/http"
+	"slices"
 	"syscall"
 	"time"
 
@@ -25,13 +27,14 @@
 	freeOutputBytes = 64 << 10 // of an output that is kept in any case
 )
 
-// newRequest returns the request that runs an item.
+// newRequest returns the request that runs an item. Of several names that differ in case only, the first in byte order counts, so that all runs
+// have the same headers.
 func newRequest(host string, i docket.Item) *relay.Request {
 	h := http.Header{}
-	for k, v := range i.Headers {
-		h.Set(k, v)
+	for _, k := range slices.Backward(slices.Sorted(maps.Keys(i.Headers))) {
+		h.Set(k, i.Headers[k])
 	}
-	return &relay.Request{ID: i.ID, Method: http.MethodPost, Host: host, Path: i.Path, Target: i.Path, Header: h, Body: i.Body}
+	return &relay.Request{Item: true, ID: i.ID, Method: http.MethodPost, Host: host, Path: i.Path, Target: i.Path, Header: h, Body: i.Body}
 }
 
 // observe records what a response says of its upstream.
--- a/internal/transport/batchrun/runner.go
+++ b/internal/transport/batchrun/runner.go
@@ -595,7 +595,7 @@
 			r.runEnded(x, limited, attempts)
 			return
 		}
-		o := r.runItem(ctx, q, relay.Sending{Upstream: s.Upstream, Address: address, Account: account, Resume: t.lastEvent}, t)
+		o := r.runItem(ctx, q, relay.Sending{Upstream: s.Upstream, Address: address, Account: account, Resume: t.lastEvent, Stream: true}, t)
 		r.runEnded(x, o, attempts)
 	})
 }
--- a/internal/transport/relay/exchange.go
+++ b/internal/transport/relay/exchange.go
@@ -350,7 +350,8 @@
 	w := x.watchFirstByte(cancel, c)
 	w.start()
 	a, err := x.r.d.Upstreams.Send(attemptCtx, x.a.Request, Sending{
-		Upstream: c.ID, Address: c.Address, Account: x.a.Account.Name, Left: left, Resume: x.lastEvent})
+		Upstream: c.ID, Address: c.Address, Account: x.a.Account.Name, Left: left, Resume: x.lastEvent,
+		Stream: x.a.Route.Kind == plan.Stream})
 	silent := w.stop()
 	if err == nil && silent { // the header arrived while the attempt was cancelled
 		x.r.d.Pool.Responded(time.Now(), c.ID)
--- a/internal/transport/relay/types.go
+++ b/internal/transport/relay/types.go
@@ -12,7 +12,7 @@
 	"snipetack/internal/state/result"
 )
 
-// Request is a caller's request as it was received.
+// Request is a request as it was received from a caller, or one that runs an item of a batch job.
 type Request struct {
 	ID       string // of this attempt of the caller
 	Method   string
@@ -20,7 +20,8 @@
 	Path     string // without the query
 	Target   string // path and query as they were sent
 	Key      string
-	Header   http.Header // headers to forward
+	Header   http.Header // as the caller or the item has it; the UpstreamProvider forwards the headers that they may set
+	Item     bool        // the request runs an item
 	Body     []byte
 	Arrived  time.Time
 	Deadline time.Duration // how long the caller waits, counted from Arrived; 0 when unknown
@@ -38,6 +39,7 @@
 	Account  string
 	Left     time.Duration // time within which the upstream must respond: until the deadline, less responseMargin
 	Resume   uint64        // id of the last event that the caller has; 0 when it has none
+	Stream   bool          // the response is a stream, of which Resume alone says where it goes on
 }
 
 // Response is an upstream's response; its header has been received, its body is read from Body.
