httpconn: Reject an upstream that switches protocols

Callers saw: a 101 of an upstream as the final answer to a request that asked for no other protocol.

Cause: receive skips interim responses except 101, which it returned like a final one.

Evidence: TestUpstreamThatSwitchesProtocolsIsNotForwarded gets 101 on.

Change: a 101 is a BadResponse. No request carries Upgrade, so none can be asked for.

Result: the caller gets 502, a request that may run once runs once; the test passes.

--- a/internal/transport/httpconn/pool.go
+++ b/internal/transport/httpconn/pool.go
@@ -254,7 +254,10 @@
 		if err != nil {
 			return nil, err
 		}
-		if a.StatusCode < http.StatusOK && a.StatusCode != http.StatusSwitchingProtocols {
+		if a.StatusCode == http.StatusSwitchingProtocols {
+			return nil, BadResponse{errors.New("the upstream switched to a protocol that no request asks for")}
+		}
+		if a.StatusCode < http.StatusOK {
 			continue
 		}
 		if matches(a, c.fresh) {
