httpserver: Read nothing more of a head that found no room

Callers would see: a request served with bytes missing from its head, when its next bytes come after other clients have freed memory.

Cause: the guard ended a head without room by one io.EOF, but read on when asked again. textproto takes a line that ends with io.EOF for complete and reports the error only at the next read.

Evidence: in TestHeadWithoutRoomIsNotJoinedAgain the handler got "X-Part: first", sent as "first-second", and no X-Gone.

Change: a connection whose head has exceeded a bound returns io.EOF for good.

--- a/internal/transport/httpserver/conn.go
+++ b/internal/transport/httpserver/conn.go
@@ -22,11 +22,16 @@
 	head     headScanner
 	deadline time.Time // for reading, as the server set it
 	from     time.Time // when the current head or the wait for the next one began
+	ended    bool      // a head exceeded a bound: nothing more is read
 }
 
-// Read reads bytes of requests. It ends with io.EOF, as if the client had left, when a head exceeds a bound: a response might
-// belong to an earlier request.
+// Read reads bytes of requests. It ends with io.EOF for good, as if the client had left, when a head exceeds a bound: a response might
+// belong to an earlier request. Later bytes must not be read, since net/http takes a line that ends with io.EOF for complete and would
+// go on with them.
 func (c *conn) Read(b []byte) (int, error) {
+	if c.hasEnded() {
+		return 0, io.EOF
+	}
 	c.limitRead()
 	n, err := c.Conn.Read(b)
 	if n == 0 {
@@ -41,6 +46,9 @@
 	case budget.Head:
 		if why := c.readHead(b[:n], now); why != "" {
 			c.g.cut(c.listener, why, c.RemoteAddr())
+			c.mu.Lock()
+			c.ended = true
+			c.mu.Unlock()
 			return 0, io.EOF
 		}
 	default:
@@ -48,6 +56,12 @@
 	return n, err
 }
 
+func (c *conn) hasEnded() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ended
+}
+
 // readHead bounds and charges bytes of a head. It returns why the connection is closed, or "".
 func (c *conn) readHead(b []byte, now time.Time) string {
 	c.mu.Lock()
--- a/internal/transport/httpserver/guard_test.go
+++ b/internal/transport/httpserver/guard_test.go
@@ -160,3 +160,60 @@
 		require.Equal(t, http.StatusOK, status)
 	})
 }
+
+// TestHeadWithoutRoomIsNotJoinedAgain guards against a request from whose head bytes are missing: a head for which there was no room ends the connection,
+// also when there is room again before its next bytes arrive.
+func TestHeadWithoutRoomIsNotJoinedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const memory = 256 << 10
+		n := fakenet.New(1, fakenet.Link{Delay: time.Millisecond})
+		l, err := n.Host("10.0.0.1").Listen("10.0.0.1:80")
+		require.NoError(t, err)
+		b := budget.New(memory, 100)
+		var seen []http.Header
+		s := httpserver.New(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { seen = append(seen, r.Header) }), slog.New(slog.DiscardHandler))
+		g := httpserver.NewGuard(b, nil, slog.New(slog.DiscardHandler))
+		g.Attach(s)
+		done := make(chan error)
+		go func() { done <- s.Serve(g.Listen(l, "callers", 1)) }()
+		c, err := n.Host("10.0.0.2").Dial(t.Context(), "10.0.0.1:80")
+		require.NoError(t, err)
+		send := func(x string) {
+			_, _ = io.WriteString(c, x)
+			time.Sleep(10 * time.Millisecond)
+		}
+		send("GET / HTTP/1.1\r\nHost: h\r\nX-Kept: 1\r\nX-Part: first")
+		share := b.Listener("others", 1)
+		fill := func(o *budget.Conn) {
+			for ok := true; ok; {
+				ok, _ = o.Take(time.Now(), 1<<10)
+			}
+		}
+		last := share.Open(time.Now(), func(string) {})
+		others := []*budget.Conn{last}
+		for o := last; o != nil; o = share.Open(time.Now(), func(string) {}) {
+			if o != last {
+				fill(o)
+				others = append(others, o)
+			}
+		}
+		fill(last)
+		send("-second\r\nX-Gone: " + strings.Repeat("x", 2000) + "\r\n")
+		for _, o := range others {
+			o.Close()
+		}
+		send("X-Late: 3\r\n\r\n")
+		require.Empty(t, seen)
+		_ = c.SetReadDeadline(time.Now().Add(time.Second))
+		a, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err == nil {
+			require.Equal(t, http.StatusBadRequest, a.StatusCode)
+			require.NoError(t, a.Body.Close())
+		}
+		_ = c.Close()
+		_ = s.Close()
+		n.Close()
+		<-done
+		time.Sleep(time.Minute)
+	})
+}
