gateway: Refuse a number whose end a closed connection marks

Callers of a plain service saw: the answer 1234, sent with neither a length nor chunks and broken off after 12, as a complete 200 with the body 12.

Cause: a close-delimited body counts as complete if it is JSON, but the prefix of a number is a number. Beside that, readPrefix told a complete body from a broken one by io.ErrUnexpectedEOF of io.ReadFull, which is also the error of an http body that breaks off; only the wrapper in package upstream kept the two apart.

Evidence: TestPlainResponseCutAtAnyByteIsRefused cuts six bodies at each byte of head and body.

Change: top-level numbers do not show their end; the prefix is read with io.ReadAll, whose nil is the body's own io.EOF.

--- a/internal/transport/gateway/plain.go
+++ b/internal/transport/gateway/plain.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"io"
@@ -8,8 +9,6 @@
 	"strconv"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"snipetack/internal/coordination/queue"
 	"snipetack/internal/coordination/routing"
 	"snipetack/internal/protocol/reply"
@@ -221,24 +220,28 @@
 }
 
 // readPrefix reads the first part of the body. It refuses redirects, and close-delimited responses unless they are
-// valid JSON within the prefix, which shows that they are complete.
+// JSON within the prefix that shows that it is complete.
 func (p *plainResponse) readPrefix() error {
 	if p.StatusCode >= http.StatusMultipleChoices && p.StatusCode < http.StatusBadRequest && p.StatusCode != http.StatusNotModified {
 		return result.New(result.UpstreamRefused, "the upstream answered with a redirect").WithRan(result.DidRun)
 	}
-	b := make([]byte, prefixSize)
-	n, err := io.ReadFull(p.Body, b)
-	p.prefix = b[:n]
-	p.complete = errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
-	if err != nil && !p.complete {
+	b, err := io.ReadAll(io.LimitReader(p.Body, prefixSize)) // not io.ReadFull, whose io.ErrUnexpectedEOF also is the error of a body that breaks off
+	if err != nil {
 		return err
 	}
-	if p.closeDelimited() && (!p.complete || !json.Valid(p.prefix)) {
+	p.prefix, p.complete = b, len(b) < prefixSize
+	if p.closeDelimited() && (!p.complete || !showsItsEnd(p.prefix)) {
 		return brokenResponse("the end of the answer can't be told from a cut connection")
 	}
 	return nil
 }
 
+// showsItsEnd reports whether a body is JSON of which no proper prefix is JSON with other content, as a prefix of a number is.
+func showsItsEnd(body []byte) bool {
+	b := bytes.TrimSpace(body)
+	return json.Valid(b) && b[0] != '-' && (b[0] < '0' || b[0] > '9')
+}
+
 // closeDelimited reports whether the end of the body is marked only by the end of the connection, so that it can't be
 // told from a truncated one.
 func (p *plainResponse) closeDelimited() bool {
