frame: Report a message that breaks off after its length

Nobody was seen to be harmed: all receivers treat each error alike.

Cause: Read promises io.EOF only between two messages, but returned an error that is io.EOF when a stream ended right after a length, or where its buffer grew, as io.ReadFull had read nothing.

Evidence: TestMessagesCutAtAnyByteAreErrors failed with "reading a message: EOF" at two bytes.

Change: such an end is io.ErrUnexpectedEOF.

Result: the test passes.

--- a/internal/protocol/frame/frame.go
+++ b/internal/protocol/frame/frame.go
@@ -46,6 +46,9 @@
 		n, err := io.ReadFull(r, b[len(b):cap(b)])
 		b = b[:len(b)+n]
 		left -= n
+		if errors.Is(err, io.EOF) {
+			err = io.ErrUnexpectedEOF // io.ReadFull read nothing, but the length has announced more
+		}
 		if err != nil {
 			return nil, errors.Wrap(err, "reading a message")
 		}
--- a/internal/protocol/frame/frame_test.go
+++ b/internal/protocol/frame/frame_test.go
@@ -46,3 +46,14 @@
 	_, err := frame.Read(bufio.NewReader(bytes.NewReader(binary.AppendUvarint(nil, frame.MaxSize+1))))
 	require.ErrorIs(t, err, frame.ErrTooLarge)
 }
+
+// TestMessagesCutAtAnyByteAreErrors guards against a message, or the length before it, that breaks off and counts as a shorter one or as the end of
+// the stream.
+func TestMessagesCutAtAnyByteAreErrors(t *testing.T) {
+	var w bytes.Buffer
+	require.NoError(t, frame.Write(&w, bytes.Repeat([]byte("x"), 300)))
+	for cut := 1; cut < w.Len(); cut++ {
+		_, err := frame.Read(bufio.NewReader(bytes.NewReader(w.Bytes()[:cut])))
+		require.ErrorIs(t, err, io.ErrUnexpectedEOF, "%d bytes", cut)
+	}
+}
