--- /dev/null
+++ b/internal/transport/httpconn/cut_test.go
@@ -0,0 +1,119 @@
+package httpconn_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"snipetack/internal/transport/httpconn"
+	"snipetack/internal/transport/network"
+)
+
+// endings are ways in which an upstream ends a connection within a response.
+func endings() map[string]func(c *net.TCPConn) {
+	return map[string]func(c *net.TCPConn){
+		"closed":      func(c *net.TCPConn) { _ = c.Close() },
+		"half-closed": func(c *net.TCPConn) { _ = c.CloseWrite() },
+		"reset": func(c *net.TCPConn) {
+			_ = c.SetLinger(0)
+			_ = c.Close()
+		},
+	}
+}
+
+// cutServer answers the first request of a connection with first, unless that is "", and the next with prefix and response, which it ends after cut bytes.
+type cutServer struct {
+	first, prefix, response string
+	cut                     int
+	end                     func(c *net.TCPConn)
+}
+
+func (s *cutServer) serve(l net.Listener) {
+	n, err := l.Accept()
+	if err != nil {
+		return
+	}
+	c := n.(*net.TCPConn)
+	if s.first != "" {
+		_, _ = c.Read(make([]byte, 4<<10))
+		_, _ = io.WriteString(c, s.first)
+	}
+	_, _ = c.Read(make([]byte, 4<<10))
+	_, _ = io.WriteString(c, s.prefix+s.response[:s.cut/2])
+	time.Sleep(100 * time.Microsecond) // the rest comes in a packet of its own
+	_, _ = io.WriteString(c, s.response[s.cut/2:s.cut])
+	s.end(c)
+}
+
+// ask makes a request and returns the status and body of the response; an error means that it is not complete.
+func ask(t *testing.T, p *httpconn.Pool, to, id string) (int, string, error) {
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	r := &http.Request{Method: http.MethodPost, URL: &url.URL{Path: "/"}, Host: "h", Header: http.Header{}}
+	a, err := p.Do(ctx, to, r, nil, func(a *http.Response, fresh bool) bool {
+		return a.Header.Get("Id") == id || a.Header.Get("Id") == "" && fresh
+	})
+	if err != nil {
+		return 0, "", err
+	}
+	defer a.Body.Close()
+	b, err := io.ReadAll(a.Body)
+	return a.StatusCode, string(b), err
+}
+
+// TestResponseCutAtAnyByteIsAnError guards against a response that breaks off within its head, or its framed body, and counts as complete: on new
+// and used connections, after interim responses and after one to an earlier request.
+func TestResponseCutAtAnyByteIsAnError(t *testing.T) {
+	head := "HTTP/1.1 200 OK\r\nId: b\r\nX-Folded: a,\r\n b\r\n"
+	responses := map[string]string{
+		"length":  head + "Content-Length: 12\r\n\r\ntwelve bytes",
+		"chunks":  head + "Transfer-Encoding: chunked\r\n\r\n6\r\ntwelve\r\n6\r\n bytes\r\n0\r\n\r\n",
+		"neither": head + "\r\n",
+		"no id":   "HTTP/1.0 200 OK\nContent-Length: 2\n\nok",
+	}
+	earlier := okResponse("a")
+	before := map[string]struct{ first, prefix string }{
+		"new connection":             {},
+		"used connection":            {first: earlier},
+		"after interim responses":    {first: earlier, prefix: "HTTP/1.1 103 x\r\n\r\nHTTP/1.1 102 x\r\nId: b\r\n\r\n"},
+		"after an earlier one again": {first: earlier, prefix: earlier},
+	}
+	for framing, response := range responses {
+		for name, x := range before {
+			for ending, end := range endings() {
+				if framing == "no id" && x.first != "" {
+					continue // not a response to the request there
+				}
+				t.Run(fmt.Sprintf("%s, %s, %s", framing, name, ending), func(t *testing.T) {
+					for cut := range response {
+						if cut == 0 && x.first != "" {
+							continue
+						}
+						l, err := network.New().Listen("127.0.0.1:0")
+						require.NoError(t, err)
+						s := &cutServer{first: x.first, prefix: x.prefix, response: response, cut: cut, end: end}
+						go s.serve(l)
+						p := httpconn.New(network.New())
+						to := l.Addr().String()
+						if x.first != "" {
+							_, b, err := ask(t, p, to, "a")
+							require.NoError(t, err)
+							require.Equal(t, "ok", b)
+						}
+						status, b, err := ask(t, p, to, "b")
+						require.NoError(t, l.Close())
+						require.Error(t, err, "%d of %d bytes: status %d, body %q, %q", cut, len(response), status, b, response[:cut])
+						require.False(t, p.Idle(to), "the connection is not used again")
+					}
+				})
+			}
+		}
+	}
+}
--- a/internal/transport/link/link_test.go
+++ b/internal/transport/link/link_test.go
@@ -3,8 +3,10 @@
 import (
 	"bytes"
 	"context"
+	"encoding/binary"
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"net"
 	"os"
@@ -198,3 +200,47 @@
 		require.NoError(t, err)
 	})
 }
+
+// TestResponseCutAtAnyByteFailsTheCall guards against a response of another VM that breaks off within its head or body and counts as complete.
+func TestResponseCutAtAnyByteFailsTheCall(t *testing.T) {
+	world(t, func(n *fakenet.Net, a, _ *vm) {
+		const peer = "10.0.0.9:7000"
+		body := []byte("response")
+		whole := len(head(response, byte(link.Sync), 0, len(body))) + len(body)
+		l, err := n.Host("10.0.0.9").Listen(peer)
+		require.NoError(t, err)
+		defer l.Close()
+		for cut := range whole + 1 {
+			go func() {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				defer c.Close()
+				h := make([]byte, len(head(request, byte(link.Sync), 0, 0)))
+				for h[4] != request {
+					if _, err := io.ReadFull(c, h); err != nil {
+						return
+					}
+					_, _ = io.CopyN(io.Discard, c, int64(binary.BigEndian.Uint32(h))-int64(len(h)-4))
+				}
+				number := binary.BigEndian.Uint64(h[6:])
+				b := append(head(response, byte(link.Sync), number, len(body)), body...)
+				_, _ = c.Write(b[:cut/2])
+				time.Sleep(2 * delay)
+				_, _ = c.Write(b[cut/2 : cut])
+				if cut == whole {
+					time.Sleep(10 * delay)
+				}
+			}()
+			b, err := a.Call(context.Background(), peer, link.Sync, []byte("request"))
+			if cut == whole {
+				require.NoError(t, err)
+				require.Equal(t, body, b)
+			} else {
+				require.Error(t, err, "%d of %d bytes: %q", cut, whole, b)
+			}
+			time.Sleep(time.Second)
+		}
+	})
+}
