platform, relay: Refuse items on routes that their client may not use

Callers could: run items on a route that needs a key without one, or on an online route past their rate, by the paths of a job's items.

Cause: the job's route is admitted by the job's path, and each item's route is looked up when it runs; nobody compared them.

Evidence: TestItemsRunOnlyWhereTheirClientMaySubmitThem got 202 for a job whose item needs a key that nobody holds.

Change: a job is refused if one of its items has a route that is not for batch jobs (400), or that needs a key when the client has none (401). Stored items on an online route end as errored.

Result: the test passes, and so do the other tests of jobs in platform.

--- a/internal/transport/batchrun/items.go
+++ b/internal/transport/batchrun/items.go
@@ -86,6 +86,9 @@
 		return
 	}
 	i.plan, i.route, i.targets = p, p.Route(host, x.Path), nil
+	if i.route != nil && i.route.Kind != plan.Batch { // accepted by an earlier build
+		i.route = nil
+	}
 	if i.route != nil {
 		i.targets = p.Holding(i.route, x.Tokens)
 		i.homes = i.route.Homes.Meet(p.Accounts[account].Homes)
--- a/internal/transport/relay/relay.go
+++ b/internal/transport/relay/relay.go
@@ -309,6 +309,26 @@
 	return tooLarge("each item of the job", least)
 }
 
+// CheckItems returns why a job is refused for the paths of its items, or nil: a job may hold only items that its client may submit by
+// themselves. A path without a route is no reason, as the VM's configuration may be older than the client's.
+func (r *Relay) CheckItems(a *Admitted, items []docket.Item) *result.Failure {
+	p := r.d.Plan()
+	if p == nil {
+		return notReady()
+	}
+	for _, i := range items {
+		u := p.Route(a.Host, i.Path)
+		switch {
+		case u == nil:
+		case u.Kind != plan.Batch:
+			return result.New(result.MalformedRequest, "the path of item %.40q is not one of a batch route", i.ID)
+		case !u.Public && a.Owner == "" && len(p.Accounts) > 0:
+			return keyUnknown()
+		}
+	}
+	return nil
+}
+
 func keyUnknown() *result.Failure {
 	return result.New(result.KeyUnknown, "the key is unknown")
 }
