fakenet: Fail writes of a closed connection before its reads

Cause: in the simulated network, not in the product. Close ended the reads of its own side first. A stand-in that ends "as in a crash" closes its connections; its handler notices that by a failed read, returns, and net/http wrote the last chunk before the connection refused bytes. The VM got a response that the upstream had ended itself.

Change: Close ends writes, then reads. No check is changed.

--- a/internal/testing/fakenet/stream.go
+++ b/internal/testing/fakenet/stream.go
@@ -182,13 +182,13 @@
 	return done, nil
 }
 
+// Close closes the connection. Writes fail before reads do: a server that notices the close by its reads must not write an end to its response.
 func (c *conn) Close() error {
-	c.once.Do(func() { close(c.done) })
 	c.n.mu.Lock()
 	delete(c.n.conns, c)
 	cut := c.n.link(hostOf(c.local), hostOf(c.remote)).Cut
 	c.n.mu.Unlock()
-	for _, h := range []*half{c.in, c.out} {
+	for _, h := range []*half{c.out, c.in} {
 		h.mu.Lock()
 		if !h.blackholed && !cut {
 			h.closed = true
@@ -196,6 +196,7 @@
 		}
 		h.mu.Unlock()
 	}
+	c.once.Do(func() { close(c.done) })
 	return nil
 }
 
