httpconn, upstream: Reject a status below 100

Callers got what followed a head with status 000, also from inside its own body, as the response of their request. In serve, an item that got it failed for good and an order counted as done.

Cause: httpconn took every status below 200 for an interim response and read on; net/http parses any three digits as a status and hands 000 to the callers of transport/upstream as a final one, and 101 too.

Change: CheckStatus decides in one place; both clients use it. The failed attempt closes its connection, so nothing behind the head is read, and counts as one that may have run: requests that may be repeated go to another upstream, others get 502. An abandoned attempt in transport/upstream closes its connection, which net/http may hold as idle already.

--- a/internal/transport/httpconn/pool.go
+++ b/internal/transport/httpconn/pool.go
@@ -254,8 +254,8 @@
 		if err != nil {
 			return nil, err
 		}
-		if a.StatusCode == http.StatusSwitchingProtocols {
-			return nil, BadResponse{errors.New("the upstream switched to a protocol that no request asks for")}
+		if err := CheckStatus(a.StatusCode); err != nil {
+			return nil, BadResponse{err}
 		}
 		if a.StatusCode < http.StatusOK {
 			continue
--- a/internal/transport/httpconn/pool_test.go
+++ b/internal/transport/httpconn/pool_test.go
@@ -69,10 +69,12 @@
 		l, err := n.Host("10.0.0.2").Listen(address)
 		require.NoError(t, err)
 		go u.serve(l)
+		defer func() { // also after a failed assertion
+			n.Close()
+			_ = l.Close()
+			synctest.Wait()
+		}()
 		f(httpconn.New(n.Host("10.0.0.1")), n)
-		n.Close()
-		_ = l.Close()
-		synctest.Wait()
 	})
 }
 
--- a/internal/transport/upstream/attempt.go
+++ b/internal/transport/upstream/attempt.go
@@ -46,11 +46,16 @@
 	}}
 }
 
-// abandon stops all writes of the attempt and reports whether a byte of it may have reached the upstream.
+// abandon closes the connection of the attempt and reports whether a byte of it may have reached the upstream.
 func (a *attempt) abandon() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.conn != nil && a.conn.seal(a.mark)
+	if a.conn == nil {
+		return false
+	}
+	sent := a.conn.seal(a.mark)
+	_ = a.conn.Close() // net/http may hold it as idle
+	return sent
 }
 
 func (a *attempt) pauseTimer() {
--- a/internal/transport/upstream/client.go
+++ b/internal/transport/upstream/client.go
@@ -13,6 +13,7 @@
 
 	"snipetack/internal/state/catalog"
 	"snipetack/internal/state/result"
+	"snipetack/internal/transport/httpconn"
 	"snipetack/internal/transport/network"
 )
 
@@ -95,7 +96,15 @@
 	if l.Header != nil {
 		q.Header = l.Header.Clone()
 	}
-	return c.transport(l).RoundTrip(q)
+	r, err := c.transport(l).RoundTrip(q)
+	if err != nil {
+		return nil, err
+	}
+	if err := httpconn.CheckStatus(r.StatusCode); err != nil {
+		_ = r.Body.Close()
+		return nil, err
+	}
+	return r, nil
 }
 
 func (c *Client) failure(ctx context.Context, err error, l Call) *result.Failure {
--- /dev/null
+++ b/internal/transport/upstream/response_test.go
@@ -0,0 +1,123 @@
+package upstream_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"snipetack/internal/coordination/placement"
+	"snipetack/internal/state/catalog"
+	"snipetack/internal/state/order"
+	"snipetack/internal/state/result"
+	"snipetack/internal/testing/fakenet"
+	"snipetack/internal/transport/upstream"
+)
+
+// sound is a complete response.
+const sound = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+// withResponses calls f with a Client of an upstream that answers the requests of all connections with the texts in turn and keeps the connections
+// open.
+func withResponses(t *testing.T, texts []string, f func(c *upstream.Client, u catalog.Upstream)) {
+	synctest.Test(t, func(t *testing.T) {
+		n := fakenet.New(1, fakenet.Link{Delay: time.Millisecond})
+		defer n.Close()
+		l, err := n.Host("10.0.0.2").Listen("10.0.0.2:80")
+		require.NoError(t, err)
+		defer l.Close()
+		next := make(chan string, len(texts))
+		for _, s := range texts {
+			next <- s
+		}
+		close(next)
+		go func() {
+			for {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				go respondInTurn(c, next)
+			}
+		}()
+		c := upstream.New(n.Host("10.0.0.1"))
+		defer c.Close()
+		f(c, catalog.Upstream{Name: "u", Address: "10.0.0.2:80"})
+	})
+}
+
+func respondInTurn(c net.Conn, next <-chan string) {
+	defer c.Close()
+	b := make([]byte, 64<<10)
+	for {
+		if _, err := c.Read(b); err != nil {
+			return
+		}
+		if _, err := io.WriteString(c, <-next); err != nil {
+			return
+		}
+	}
+}
+
+// get makes a call and returns the body of the response.
+func get(c *upstream.Client, u catalog.Upstream) (string, error) {
+	r, err := c.Do(context.Background(), upstream.Call{Upstream: u, Method: http.MethodGet, Path: "/", ProgressTimeout: time.Second})
+	if err != nil {
+		return "", err
+	}
+	defer r.Body.Close()
+	b, err := io.ReadAll(r.Body)
+	return string(b), err
+}
+
+// requireBroken answers a call with a text, on a new connection and on one that served another call: it must fail as one that may have run, and the
+// next call must be served.
+func requireBroken(t *testing.T, text string) {
+	for _, earlier := range []int{0, 1} {
+		texts := []string{text, sound}
+		if earlier == 1 {
+			texts = []string{sound, text, sound}
+		}
+		withResponses(t, texts, func(c *upstream.Client, u catalog.Upstream) {
+			for range earlier {
+				b, err := get(c, u)
+				require.NoError(t, err)
+				require.Equal(t, "ok", b)
+				time.Sleep(10 * time.Millisecond)
+			}
+			b, err := get(c, u)
+			require.Error(t, err, "got the body %q", b)
+			require.Equal(t, result.UpstreamBroken, result.Of(err).Code)
+			require.NotEqual(t, result.NotRun, result.Of(err).Ran)
+			time.Sleep(10 * time.Millisecond)
+			b, err = get(c, u)
+			require.NoError(t, err, "the connection is used again")
+			require.Equal(t, "ok", b)
+		})
+	}
+}
+
+// TestStatusOutOfPlaceIsNoResponse guards against a response whose status no final response has, or that switches to a protocol that no call asks for.
+func TestStatusOutOfPlaceIsNoResponse(t *testing.T) {
+	for _, status := range []string{"000 OK", "000", "099 x", "+99 x", "101 Switching Protocols"} {
+		t.Run(status, func(t *testing.T) {
+			requireBroken(t, "HTTP/1.1 "+status+"\r\nContent-Length: 5\r\n\r\ninner")
+			requireBroken(t, "HTTP/1.1 "+status+"\r\nContent-Length: 0\r\n\r\n"+sound)
+			requireBroken(t, "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 "+status+"\r\n\r\n"+sound)
+		})
+	}
+}
+
+// TestOrderWithoutResponseIsUnknown guards against an order that counts as done by a response with a status that no final response has.
+func TestOrderWithoutResponseIsUnknown(t *testing.T) {
+	for _, status := range []string{"000 OK", "101 Switching Protocols"} {
+		withResponses(t, []string{"HTTP/1.1 " + status + "\r\nContent-Length: 0\r\n\r\n"}, func(c *upstream.Client, u catalog.Upstream) {
+			require.Equal(t, placement.Unknown, c.Order(context.Background(), u, order.Intent{}), status)
+		})
+	}
+}
