httpconn, upstream: Reject field names that are no token

A response with a blank in a field's name, or between the name and the colon, reached callers; where the field was Content-Length or Transfer-Encoding, the caller got all bytes up to the end of the connection, chunk sizes too, as the body.

Cause: http.ReadResponse refuses control bytes in names but keeps names with blanks as they are, so it does not see the framing that they announce.

Names with control bytes, without a colon or empty were refused before.

Change: CheckFields rejects such names in all heads, responses to earlier requests and interim ones too, and at the end of a trailer section, in httpconn and in transport/upstream. The hook for interim heads lifts net/http's bound on all of them together, so transport/upstream keeps that bound itself.

--- a/internal/transport/httpconn/pool.go
+++ b/internal/transport/httpconn/pool.go
@@ -112,7 +112,7 @@
 		}
 		return nil, errors.Wrapf(err, "sending a request to upstream %s", address)
 	}
-	a.Body = &responseBody{ReadCloser: a.Body, p: p, c: c, stop: stop, written: written, reusable: !a.Close, limit: keepAlive(a.Header)}
+	a.Body = &responseBody{ReadCloser: a.Body, a: a, p: p, c: c, stop: stop, written: written, reusable: !a.Close, limit: keepAlive(a.Header)}
 	return a, nil
 }
 
@@ -286,6 +286,9 @@
 	switch {
 	case err == nil:
 		_ = c.SetReadDeadline(time.Time{})
+		if err := CheckFields(a.Header); err != nil {
+			return nil, BadResponse{err}
+		}
 		return a, nil
 	case errors.Is(c.in.err, errLimit):
 		return nil, BadResponse{errors.Errorf("the head exceeds %d bytes", maxHeadBytes)}
@@ -358,6 +361,7 @@
 // responseBody is the body of one response; at its end it returns the connection to the pool.
 type responseBody struct {
 	io.ReadCloser
+	a        *http.Response
 	p        *Pool
 	c        *conn
 	stop     func() bool // false if ctx has closed the connection
@@ -371,6 +375,11 @@
 // closed.
 func (b *responseBody) Read(x []byte) (int, error) {
 	n, err := b.ReadCloser.Read(x)
+	if err == io.EOF {
+		if e := CheckFields(b.a.Trailer); e != nil {
+			err = BadResponse{e}
+		}
+	}
 	if err != nil && !b.ended {
 		b.finish(err == io.EOF)
 	}
--- a/internal/transport/httpconn/response.go
+++ b/internal/transport/httpconn/response.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 
 	"github.com/pkg/errors"
 )
@@ -18,3 +19,14 @@
 	}
 	return nil
 }
+
+// CheckFields returns an error if the name of a field in a head or a trailer section is no token (RFC 9110, 5.6.2). Of such names net/http parses
+// only those with blanks, and takes a length or chunks that they announce for absent.
+func CheckFields(h http.Header) error {
+	for n := range h {
+		if strings.Contains(n, " ") {
+			return errors.Errorf("the field name %.40q holds a blank", n)
+		}
+	}
+	return nil
+}
--- a/internal/transport/httpconn/response_test.go
+++ b/internal/transport/httpconn/response_test.go
@@ -67,3 +67,53 @@
 		require.Equal(t, 999, a.StatusCode)
 	})
 }
+
+// badNames are fields whose names are no token (RFC 9110, 5.6.2), or no field at all.
+func badNames() []string {
+	return []string{"X-A b: c", "X-A : b", "X A : b", "X-A\t: b", "Content-Length : 2", "Content Length: 2", "Transfer-Encoding : chunked", "X-A\r\n b: c",
+		"X-\x01A: b", "X-\x00A: b", "X-\x7fA: b", "X-A\r: b", "X-\x80A: b", "X(A): b", ": b", "no colon"}
+}
+
+// TestFieldNameThatIsNoTokenIsNoResponse guards against a field whose name is no token: net/http keeps one with a blank, and does not see a length or
+// chunks that it announces.
+func TestFieldNameThatIsNoTokenIsNoResponse(t *testing.T) {
+	for _, field := range badNames() {
+		t.Run(field, func(t *testing.T) {
+			const start = "HTTP/1.1 200 OK\r\nId: x\r\n"
+			requireBadResponse(t, start+field+"\r\n\r\nok")
+			requireBadResponse(t, start+field+"\r\nContent-Length: 2\r\n\r\nok")
+			requireBadResponse(t, start+"Content-Length: 2\r\n"+field+"\r\n\r\nok")
+			requireBadResponse(t, "HTTP/1.1 103 Early Hints\r\n"+field+"\r\n\r\n"+okResponse("x"))
+			requireBadResponse(t, "HTTP/1.1 200 OK\r\nId: y\r\nContent-Length: 2\r\n"+field+"\r\n\r\nok"+okResponse("x"))
+		})
+	}
+}
+
+// TestTrailerNameThatIsNoTokenIsNoEnd guards against a body that counts as complete though its trailer section is none.
+func TestTrailerNameThatIsNoTokenIsNoEnd(t *testing.T) {
+	for _, field := range badNames() {
+		t.Run(field, func(t *testing.T) {
+			u := &upstream{respond: write("HTTP/1.1 200 OK\r\nId: x\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n%s\r\n\r\n", field)}
+			withUpstream(t, u, func(p *httpconn.Pool, _ *fakenet.Net) {
+				b, err := do(p, "x", 0)
+				require.Error(t, err, "got the body %q", b)
+				require.False(t, p.Idle(address))
+			})
+		})
+	}
+}
+
+// TestFieldsThatAreSound sends heads that look odd but are valid: the response is read.
+func TestFieldsThatAreSound(t *testing.T) {
+	for _, field := range []string{"X-A:b", "X-A:\t b \t", "x!#$%&'*+-.^_`|~9: b", "X-Folded: a,\r\n b", "X-Empty:", "X-Obs: \x80"} {
+		u := &upstream{respond: write("HTTP/1.1 200 OK\r\nId: x\r\n%s\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n%s\r\n\r\n", field, field)}
+		withUpstream(t, u, func(p *httpconn.Pool, _ *fakenet.Net) {
+			for range 2 {
+				b, err := do(p, "x", 0)
+				require.NoError(t, err, "%q", field)
+				require.Equal(t, "ok", b)
+			}
+			require.Equal(t, 1, u.conns, "the connection is used again")
+		})
+	}
+}
--- a/internal/transport/upstream/attempt.go
+++ b/internal/transport/upstream/attempt.go
@@ -4,15 +4,21 @@
 	"bytes"
 	"context"
 	"io"
+	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"snipetack/internal/state/result"
+	"snipetack/internal/transport/httpconn"
 )
 
+// minHead is the length of the shortest head in bytes.
+const minHead = len("HTTP/1.1 102 \r\n\r\n")
+
 // attempt tracks one exchange with an upstream: whether any of the request was written to its connection, and how long
 // the upstream has sent nothing.
 type attempt struct {
@@ -22,6 +28,7 @@
 	mu              sync.Mutex // guards conn and mark
 	conn            *conn
 	mark            int64 // bytes written to conn before this attempt
+	interimBytes    int   // of interim responses
 }
 
 func newAttempt(cancel context.CancelCauseFunc, progressTimeout time.Duration) *attempt {
@@ -32,18 +39,35 @@
 	return a
 }
 
-// trace returns hooks that record the connection before any of the request is written to it.
+// trace returns hooks that record the connection before any of the request is written to it, and check interim responses.
 func (a *attempt) trace() *httptrace.ClientTrace {
-	return &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
-		c, ok := i.Conn.(*conn)
-		if !ok {
-			return
+	return &httptrace.ClientTrace{GotConn: a.gotConn, Got1xxResponse: a.gotInterim}
+}
+
+func (a *attempt) gotConn(i httptrace.GotConnInfo) {
+	c, ok := i.Conn.(*conn)
+	if !ok {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.conn = c
+	a.mark = c.mark()
+}
+
+// gotInterim returns an error, which ends the attempt, for an interim response that is none. As net/http bounds each head only while this hook is
+// set, it also bounds all of them together.
+func (a *attempt) gotInterim(_ int, h textproto.MIMEHeader) error {
+	a.interimBytes += minHead
+	for n, l := range h {
+		for _, v := range l {
+			a.interimBytes += len(n) + len(": ") + len(v) + len("\r\n")
 		}
-		a.mu.Lock()
-		defer a.mu.Unlock()
-		a.conn = c
-		a.mark = c.mark()
-	}}
+	}
+	if a.interimBytes > maxResponseHeader {
+		return errors.Errorf("the interim responses exceed %d bytes", maxResponseHeader)
+	}
+	return httpconn.CheckFields(http.Header(h))
 }
 
 // abandon closes the connection of the attempt and reports whether a byte of it may have reached the upstream.
@@ -83,6 +107,7 @@
 // responseBody is a response body whose reads fail when the upstream sends nothing within the progress timeout.
 type responseBody struct {
 	io.ReadCloser
+	response  *http.Response
 	attempt   *attempt
 	ctx       context.Context
 	upstream  string
@@ -95,6 +120,9 @@
 	b.attempt.restartTimer()
 	n, err := b.ReadCloser.Read(p)
 	b.attempt.pauseTimer()
+	if errors.Is(err, io.EOF) {
+		err = b.checkEnd(err)
+	}
 	if err == nil || errors.Is(err, io.EOF) {
 		return n, err
 	}
@@ -105,6 +133,14 @@
 	return n, result.New(result.UpstreamBroken, "upstream %s: %v", b.upstream, errors.Cause(err)).WithRan(result.DidRun)
 }
 
+// checkEnd returns the error of a read at the end of the body: end, unless the body is not complete.
+func (b *responseBody) checkEnd(end error) error {
+	if err := httpconn.CheckFields(b.response.Trailer); err != nil {
+		return err
+	}
+	return end
+}
+
 // Close ends the exchange; if the response was not read to its end, the connection is closed.
 func (b *responseBody) Close() error {
 	b.attempt.pauseTimer()
--- a/internal/transport/upstream/client.go
+++ b/internal/transport/upstream/client.go
@@ -61,7 +61,7 @@
 	a.pauseTimer()
 	if err == nil {
 		onTimeout := func() { c.closeIdle(l.Upstream.Address) }
-		r.Body = &responseBody{ReadCloser: r.Body, attempt: a, ctx: ctx, upstream: l.Upstream.Name, onTimeout: onTimeout}
+		r.Body = &responseBody{ReadCloser: r.Body, response: r, attempt: a, ctx: ctx, upstream: l.Upstream.Name, onTimeout: onTimeout}
 		return r, nil
 	}
 	f := result.Of(err)
@@ -100,13 +100,21 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := httpconn.CheckStatus(r.StatusCode); err != nil {
+	if err := checkHead(r); err != nil {
 		_ = r.Body.Close()
 		return nil, err
 	}
 	return r, nil
 }
 
+// checkHead returns an error if a head that net/http has parsed is none of a response.
+func checkHead(r *http.Response) error {
+	if err := httpconn.CheckStatus(r.StatusCode); err != nil {
+		return err
+	}
+	return httpconn.CheckFields(r.Header)
+}
+
 func (c *Client) failure(ctx context.Context, err error, l Call) *result.Failure {
 	if errors.Is(context.Cause(ctx), errNoProgress) {
 		c.closeIdle(l.Upstream.Address)
--- a/internal/transport/upstream/response_test.go
+++ b/internal/transport/upstream/response_test.go
@@ -121,3 +121,16 @@
 		})
 	}
 }
+
+// TestFieldNameThatIsNoTokenIsNoResponse guards against a field in a head or a trailer whose name is no token: net/http keeps one with a blank, and
+// does not see a length or chunks that it announces.
+func TestFieldNameThatIsNoTokenIsNoResponse(t *testing.T) {
+	for _, field := range []string{"X-A b: c", "X-A : b", "Content-Length : 2", "Content Length: 2", "Transfer-Encoding : chunked", "X-\x01A: b", "X-A\t: b"} {
+		t.Run(field, func(t *testing.T) {
+			requireBroken(t, "HTTP/1.1 200 OK\r\n"+field+"\r\nContent-Length: 2\r\n\r\nok")
+			requireBroken(t, "HTTP/1.1 200 OK\r\n"+field+"\r\nContent-Length: 0\r\n\r\n"+sound)
+			requireBroken(t, "HTTP/1.1 103 Early Hints\r\n"+field+"\r\n\r\n"+sound)
+			requireBroken(t, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n"+field+"\r\n\r\n")
+		})
+	}
+}
