httpconn: Report a response that ends before its request is written

An upstream that answered a long upload with a 200 without a length, sent a part of its body and closed or reset the connection, reached the caller with that part as a complete answer: a stream with its last chunk, a plain answer with a length of ours.

Cause: such a body ends with its connection. While the request is being written, the goroutine that writes gets the error of a reset, which the system reports once; the read then gets the end of the stream.

Change: at the end of a body without a length or chunks, the response is complete only if the request has been written by then without an error. A write that still waits is ended; one whose bytes the upstream has read has succeeded, so a sound response can't be lost by a race. The caller gets what other broken responses get: 502 or the next upstream for a plain answer, a cut stream or a resumed one; the request may have run, and the break counts against the upstream as any other. An upstream that sends such a response and ends only its sending direction can't be told from one that broke off, and is refused too. Reads after the end return the same error again. HEAD has no such body.

Result: the tests pass; responses to unfinished uploads with a length or chunks, of status 200 to 500, arrive whole as before, closed, half-closed and reset, and so do 50 of 50 without either to a request that was read.

--- a/internal/transport/httpconn/cut_test.go
+++ b/internal/transport/httpconn/cut_test.go
@@ -1,6 +1,7 @@
 package httpconn_test
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -122,3 +123,106 @@
 		}
 	}
 }
+
+// uploadBytes is a request body that exceeds what a kernel takes of it at once.
+const uploadBytes = 4 << 20
+
+// answerUpload answers the first request that l gets with a text while the request is being written, after reading so many bytes of it, and ends
+// the connection.
+func answerUpload(l net.Listener, text string, read int, end func(c *net.TCPConn)) {
+	n, err := l.Accept()
+	if err != nil {
+		return
+	}
+	c := n.(*net.TCPConn)
+	_, _ = io.ReadFull(c, make([]byte, read))
+	_, _ = io.WriteString(c, text)
+	time.Sleep(20 * time.Millisecond) // the caller reads the text before the connection ends
+	end(c)
+}
+
+// upload sends a request with a body and returns the status and body of the response.
+func upload(t *testing.T, to string, size int) (int, string, error) {
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	a, err := httpconn.New(network.New()).Do(ctx, to, &http.Request{Method: http.MethodPost, URL: &url.URL{Path: "/"}, Host: "h", Header: http.Header{}},
+		make([]byte, size), func(*http.Response, bool) bool { return true })
+	if err != nil {
+		return 0, "", err
+	}
+	defer a.Body.Close()
+	b, err := io.ReadAll(a.Body)
+	return a.StatusCode, string(b), err
+}
+
+// TestUnframedResponseToAnUploadThatIsCutIsAnError guards against a part of a body that counts as the whole: without a length or chunks its end is
+// that of the connection, and when the request is still being written the error of a reset goes to the writer alone.
+func TestUnframedResponseToAnUploadThatIsCutIsAnError(t *testing.T) {
+	for ending, end := range endings() {
+		for _, read := range []int{1, 100 << 10} {
+			for _, size := range []int{20_000, 60_000, 300_000, uploadBytes} {
+				if read > size || size < uploadBytes && ending == "half-closed" {
+					continue // the kernel may take the whole body
+				}
+				t.Run(fmt.Sprintf("%s after %d of %d bytes", ending, read, size), func(t *testing.T) {
+					for range 5 {
+						l, err := network.New().Listen("127.0.0.1:0")
+						require.NoError(t, err)
+						go answerUpload(l, "HTTP/1.1 200 OK\r\nId: x\r\n\r\na part of it", read, end)
+						status, b, err := upload(t, l.Addr().String(), size)
+						require.NoError(t, l.Close())
+						require.Error(t, err, "got status %d and %q", status, b)
+					}
+				})
+			}
+		}
+	}
+}
+
+// TestFramedResponseToAnUploadIsWhole lets an upstream answer before it has read the request: a response that says where it ends is whole.
+func TestFramedResponseToAnUploadIsWhole(t *testing.T) {
+	for framing, rest := range map[string]string{
+		"length": "Content-Length: 8\r\n\r\nno, why?",
+		"chunks": "Transfer-Encoding: chunked\r\n\r\n8\r\nno, why?\r\n0\r\n\r\n",
+	} {
+		for _, status := range []int{http.StatusOK, http.StatusBadRequest, http.StatusRequestEntityTooLarge, http.StatusInternalServerError} {
+			for ending, end := range endings() {
+				t.Run(fmt.Sprintf("%s, %d, %s", framing, status, ending), func(t *testing.T) {
+					l, err := network.New().Listen("127.0.0.1:0")
+					require.NoError(t, err)
+					defer l.Close()
+					go answerUpload(l, fmt.Sprintf("HTTP/1.1 %d x\r\n%s", status, rest), 1, end)
+					s, b, err := upload(t, l.Addr().String(), uploadBytes)
+					require.NoError(t, err)
+					require.Equal(t, status, s)
+					require.Equal(t, "no, why?", b)
+				})
+			}
+		}
+	}
+}
+
+// TestUnframedResponseToAWholeUploadIsWhole lets an upstream read the request to its end before it answers and closes the connection at once.
+func TestUnframedResponseToAWholeUploadIsWhole(t *testing.T) {
+	for range 50 {
+		l, err := network.New().Listen("127.0.0.1:0")
+		require.NoError(t, err)
+		go func() {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			defer c.Close()
+			q, err := http.ReadRequest(bufio.NewReader(c))
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, q.Body)
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nall of it")
+		}()
+		_, b, err := upload(t, l.Addr().String(), uploadBytes)
+		require.NoError(t, l.Close())
+		require.NoError(t, err)
+		require.Equal(t, "all of it", b)
+	}
+}
--- a/internal/transport/httpconn/pool.go
+++ b/internal/transport/httpconn/pool.go
@@ -368,27 +368,46 @@
 	written  <-chan error
 	reusable bool          // the upstream keeps the connection open
 	limit    time.Duration // longest time until the next request
-	ended    bool
+	err      error         // of all further reads; nil until the end
 }
 
 // Read reads the body. At its complete end the connection returns to the pool if it can be reused; after an error it is
 // closed.
 func (b *responseBody) Read(x []byte) (int, error) {
+	if b.err != nil {
+		return 0, b.err
+	}
 	n, err := b.ReadCloser.Read(x)
 	if err == io.EOF {
-		if e := CheckFields(b.a.Trailer); e != nil {
-			err = BadResponse{e}
-		}
+		err = b.checkEnd()
 	}
-	if err != nil && !b.ended {
+	if err != nil {
+		b.err = err
 		b.finish(err == io.EOF)
 	}
 	return n, err
 }
 
+// checkEnd returns io.EOF at the end of a complete body. One that ends with its connection is complete only if the request has been written
+// completely: otherwise the connection may have been reset, an error that the system reports once, to the read or to the write.
+func (b *responseBody) checkEnd() error {
+	if err := CheckFields(b.a.Trailer); err != nil {
+		return BadResponse{err}
+	}
+	if !Unframed(b.a) {
+		return io.EOF
+	}
+	_ = b.c.SetWriteDeadline(time.Now()) // ends a write that is waiting
+	if err := <-b.written; err != nil {
+		return errors.Wrapf(io.ErrUnexpectedEOF, "the connection ended while the request was written: %v", err)
+	}
+	return io.EOF
+}
+
 // Close closes the connection unless the body was read to its end.
 func (b *responseBody) Close() error {
-	if !b.ended {
+	if b.err == nil {
+		b.err = http.ErrBodyReadAfterClose
 		b.finish(false)
 	}
 	return nil
@@ -397,7 +416,6 @@
 // finish returns the connection to the pool, or closes it if the body is not complete, ctx has ended, the request was
 // not written completely, or the connection holds unexpected bytes.
 func (b *responseBody) finish(complete bool) {
-	b.ended = true
 	alive := b.stop()
 	if complete && alive && b.reusable && b.limit > 0 && b.sent() && b.c.r.Buffered() == 0 {
 		b.p.put(b.c, b.limit)
--- a/internal/transport/httpconn/response.go
+++ b/internal/transport/httpconn/response.go
@@ -30,3 +30,8 @@
 	}
 	return nil
 }
+
+// Unframed reports whether a response has neither a length nor chunks, so that its body ends with the connection.
+func Unframed(a *http.Response) bool {
+	return a.ContentLength < 0 && len(a.TransferEncoding) == 0 && a.Request.Method != http.MethodHead
+}
