upstream: Report a response that ends before its request is written

In serve, a refusal of an engine without a length that was cut while the request was being written reached its caller as complete, and so did the result of a batch item that failed by such a response.

Cause: as in httpconn; net/http has the same two goroutines on a connection, and its body ends without an error when the write got the error of the reset. Plain answers and streams were safe: a plain one without a length must show its end by itself, a stream must end with [DONE].

Change: the hook of net/http tells whether the request was written, the connection whether a write failed, as net/http reports a request as written before it flushes the last bytes. Reads after the end return the same error again. The gateway uses httpconn's Unframed in place of its own copy.

--- a/internal/transport/gateway/plain.go
+++ b/internal/transport/gateway/plain.go
@@ -14,6 +14,7 @@
 	"snipetack/internal/protocol/reply"
 	"snipetack/internal/state/catalog"
 	"snipetack/internal/state/result"
+	"snipetack/internal/transport/httpconn"
 	"snipetack/internal/transport/upstream"
 )
 
@@ -230,7 +231,7 @@
 		return err
 	}
 	p.prefix, p.complete = b, len(b) < prefixSize
-	if p.closeDelimited() && (!p.complete || !showsItsEnd(p.prefix)) {
+	if httpconn.Unframed(p.Response) && (!p.complete || !showsItsEnd(p.prefix)) {
 		return brokenResponse("the end of the answer can't be told from a cut connection")
 	}
 	return nil
@@ -242,13 +243,6 @@
 	return json.Valid(b) && b[0] != '-' && (b[0] < '0' || b[0] > '9')
 }
 
-// closeDelimited reports whether the end of the body is marked only by the end of the connection, so that it can't be
-// told from a truncated one.
-func (p *plainResponse) closeDelimited() bool {
-	bodyless := p.Request.Method == http.MethodHead || p.StatusCode == http.StatusNoContent || p.StatusCode == http.StatusNotModified
-	return p.ContentLength < 0 && len(p.TransferEncoding) == 0 && !bodyless
-}
-
 // relay sends the response to the caller. If reading or writing fails midway, it panics with http.ErrAbortHandler,
 // which closes the caller's connection, so that the caller notices.
 func (p *plainResponse) relay(w http.ResponseWriter) error {
--- a/internal/transport/upstream/attempt.go
+++ b/internal/transport/upstream/attempt.go
@@ -27,21 +27,46 @@
 	timer           *time.Timer
 	mu              sync.Mutex // guards conn and mark
 	conn            *conn
-	mark            int64 // bytes written to conn before this attempt
-	interimBytes    int   // of interim responses
+	mark            int64      // bytes written to conn before this attempt
+	interimBytes    int        // of interim responses
+	wrote           chan error // gets the result of writing the request
 }
 
 func newAttempt(cancel context.CancelCauseFunc, progressTimeout time.Duration) *attempt {
-	a := &attempt{cancel: cancel, progressTimeout: progressTimeout}
+	a := &attempt{cancel: cancel, progressTimeout: progressTimeout, wrote: make(chan error, 1)}
 	if progressTimeout > 0 {
 		a.timer = time.AfterFunc(progressTimeout, func() { cancel(errNoProgress) })
 	}
 	return a
 }
 
-// trace returns hooks that record the connection before any of the request is written to it, and check interim responses.
+// trace returns hooks that record the connection before any of the request is written to it and the result of writing it, and check interim
+// responses.
 func (a *attempt) trace() *httptrace.ClientTrace {
-	return &httptrace.ClientTrace{GotConn: a.gotConn, Got1xxResponse: a.gotInterim}
+	return &httptrace.ClientTrace{GotConn: a.gotConn, WroteRequest: a.wroteRequest, Got1xxResponse: a.gotInterim}
+}
+
+func (a *attempt) wroteRequest(i httptrace.WroteRequestInfo) {
+	select {
+	case a.wrote <- i.Err:
+	default:
+	}
+}
+
+// requestWritten reports whether the request has been written without an error, once the connection has ended or ctx has. It must be called only once.
+func (a *attempt) requestWritten(ctx context.Context) bool {
+	select {
+	case err := <-a.wrote:
+		if err != nil {
+			return false
+		}
+	case <-ctx.Done():
+		return false
+	}
+	a.mu.Lock()
+	c := a.conn
+	a.mu.Unlock()
+	return c != nil && !c.writeFailed() // net/http reports a request as written before it flushes the last bytes
 }
 
 func (a *attempt) gotConn(i httptrace.GotConnInfo) {
@@ -112,33 +137,45 @@
 	ctx       context.Context
 	upstream  string
 	onTimeout func() // called when a read fails for want of progress
+	end       error  // of all reads from the end of the body on; nil before it
 }
 
 // Read reads the response. The progress timeout runs only during reads, so a slow reader can't exceed it.
 // Ran of a Failure is DidRun.
 func (b *responseBody) Read(p []byte) (int, error) {
+	if b.end != nil {
+		return 0, b.end
+	}
 	b.attempt.restartTimer()
 	n, err := b.ReadCloser.Read(p)
 	b.attempt.pauseTimer()
-	if errors.Is(err, io.EOF) {
-		err = b.checkEnd(err)
-	}
-	if err == nil || errors.Is(err, io.EOF) {
-		return n, err
-	}
-	if errors.Is(context.Cause(b.ctx), errNoProgress) {
+	switch {
+	case errors.Is(err, io.EOF):
+		b.end = b.checkEnd()
+	case err == nil:
+	case errors.Is(context.Cause(b.ctx), errNoProgress):
 		b.onTimeout()
-		return n, result.New(result.UpstreamSilent, "upstream %s made no progress", b.upstream).WithRan(result.DidRun)
+		b.end = result.New(result.UpstreamSilent, "upstream %s made no progress", b.upstream).WithRan(result.DidRun)
+	default:
+		b.end = b.broken(err)
 	}
-	return n, result.New(result.UpstreamBroken, "upstream %s: %v", b.upstream, errors.Cause(err)).WithRan(result.DidRun)
+	return n, b.end
 }
 
-// checkEnd returns the error of a read at the end of the body: end, unless the body is not complete.
-func (b *responseBody) checkEnd(end error) error {
+// checkEnd returns io.EOF at the end of a complete body. One that ends with its connection is complete only if the request has been written
+// completely, as the error of a reset may have gone to that write alone; net/http closes the connection then, which ends a write that is waiting.
+func (b *responseBody) checkEnd() error {
 	if err := httpconn.CheckFields(b.response.Trailer); err != nil {
-		return err
+		return b.broken(err)
 	}
-	return end
+	if httpconn.Unframed(b.response) && !b.attempt.requestWritten(b.ctx) {
+		return b.broken(errors.New("the connection ended while the request was written"))
+	}
+	return io.EOF
+}
+
+func (b *responseBody) broken(cause error) error {
+	return result.New(result.UpstreamBroken, "upstream %s: %v", b.upstream, errors.Cause(cause)).WithRan(result.DidRun)
 }
 
 // Close ends the exchange; if the response was not read to its end, the connection is closed.
--- a/internal/transport/upstream/conn.go
+++ b/internal/transport/upstream/conn.go
@@ -13,9 +13,11 @@
 // conn counts the bytes written, so that a failed attempt can tell whether any byte may have been sent.
 type conn struct {
 	net.Conn
-	mu      sync.Mutex
+	writing sync.Mutex // held during a write
+	mu      sync.Mutex // guards the fields below
 	written int64
 	sealed  bool
+	failed  bool // a write has failed
 }
 
 // Write counts bytes before they are sent, so that none is sent uncounted, and fails once the connection is sealed.
@@ -23,7 +25,24 @@
 	if !c.count(len(b)) {
 		return 0, errSealed
 	}
-	return c.Conn.Write(b)
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	n, err := c.Conn.Write(b)
+	if err != nil {
+		c.mu.Lock()
+		c.failed = true
+		c.mu.Unlock()
+	}
+	return n, err
+}
+
+// writeFailed waits for a write that has begun and reports whether any has failed.
+func (c *conn) writeFailed() bool {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.failed
 }
 
 // mark returns the count of bytes written so far, for seal.
--- a/internal/transport/upstream/response_test.go
+++ b/internal/transport/upstream/response_test.go
@@ -1,7 +1,9 @@
 package upstream_test
 
 import (
+	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -16,6 +18,7 @@
 	"snipetack/internal/state/order"
 	"snipetack/internal/state/result"
 	"snipetack/internal/testing/fakenet"
+	"snipetack/internal/transport/network"
 	"snipetack/internal/transport/upstream"
 )
 
@@ -134,3 +137,72 @@
 		})
 	}
 }
+
+// TestUnframedResponseToAnUploadThatIsCutIsBroken guards against a part of a body that counts as the whole: the response has neither a length nor
+// chunks, and the connection ends while the request is being written.
+func TestUnframedResponseToAnUploadThatIsCutIsBroken(t *testing.T) {
+	for _, status := range []int{http.StatusOK, http.StatusBadRequest} {
+		for _, read := range []int{1, 100 << 10} {
+			t.Run(fmt.Sprintf("status %d after %d bytes", status, read), func(t *testing.T) {
+				_, b, err := upload(t, fmt.Sprintf("HTTP/1.1 %d x\r\n\r\na part of it", status), read, 4<<20)
+				require.Error(t, err, "got the body %q", b)
+				require.Equal(t, result.UpstreamBroken, result.Of(err).Code)
+				require.NotEqual(t, result.NotRun, result.Of(err).Ran)
+			})
+		}
+	}
+}
+
+// TestResponseToAnUploadIsWhole lets an upstream answer before it has read the request, with a length or chunks, and after it without either.
+func TestResponseToAnUploadIsWhole(t *testing.T) {
+	const size = 4 << 20
+	for name, x := range map[string]struct {
+		text string
+		read int
+	}{
+		"length":  {text: "HTTP/1.1 413 x\r\nContent-Length: 8\r\n\r\nno, why?", read: 1},
+		"chunks":  {text: "HTTP/1.1 413 x\r\nTransfer-Encoding: chunked\r\n\r\n8\r\nno, why?\r\n0\r\n\r\n", read: 1},
+		"neither": {text: "HTTP/1.1 413 x\r\n\r\nno, why?", read: size},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for range 10 {
+				status, b, err := upload(t, x.text, x.read, size)
+				require.NoError(t, err)
+				require.Equal(t, http.StatusRequestEntityTooLarge, status)
+				require.Equal(t, "no, why?", b)
+			}
+		})
+	}
+}
+
+// upload sends a request with a body to an upstream on a real socket that reads so many bytes of the body, answers with a text and closes the
+// connection; it returns the status and body of the response.
+func upload(t *testing.T, text string, read, size int) (int, string, error) {
+	l, err := network.New().Listen("127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		q, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return
+		}
+		_, _ = io.CopyN(io.Discard, q.Body, int64(read))
+		_, _ = io.WriteString(c, text)
+		time.Sleep(20 * time.Millisecond) // the caller reads the text before the connection ends
+	}()
+	c := upstream.New(network.New())
+	defer c.Close()
+	r, err := c.Do(t.Context(), upstream.Call{Upstream: catalog.Upstream{Name: "u", Address: l.Addr().String()}, Method: http.MethodPost, Path: "/",
+		Body: make([]byte, size), ProgressTimeout: 5 * time.Second})
+	if err != nil {
+		return 0, "", err
+	}
+	defer r.Body.Close()
+	b, err := io.ReadAll(r.Body)
+	return r.StatusCode, string(b), err
+}
