httpconn: Upload more than the kernels take to a half-closed upstream

TestUnframedResponseToAnUploadThatIsCutIsAnError failed once under the race detector: half-closed after 100 KiB of 4 MB, 200 without an error.

Cause: in the test. The kernels of both ends took all 4 MB, so the request was written whole without an error before the read saw the end, and an upstream that ends only its sending direction causes none later.

Change: the case of the half-closed upstream sends 32 MiB, of which the upstream's kernel takes 64 KiB; closed and reset upstreams are tried with that size too. Comparisons with io.EOF as the linter wants them.

--- a/internal/transport/httpconn/cut_test.go
+++ b/internal/transport/httpconn/cut_test.go
@@ -124,8 +124,12 @@
 	}
 }
 
-// uploadBytes is a request body that exceeds what a kernel takes of it at once.
-const uploadBytes = 4 << 20
+// Request bodies of uploads.
+const (
+	uploadBytes     = 4 << 20
+	endlessUpload   = 32 << 20 // exceeds what the kernels of both ends take of it
+	uploadReadBytes = 64 << 10 // buffer of the upstream's kernel
+)
 
 // answerUpload answers the first request that l gets with a text while the request is being written, after reading so many bytes of it, and ends
 // the connection.
@@ -135,6 +139,7 @@
 		return
 	}
 	c := n.(*net.TCPConn)
+	_ = c.SetReadBuffer(uploadReadBytes)
 	_, _ = io.ReadFull(c, make([]byte, read))
 	_, _ = io.WriteString(c, text)
 	time.Sleep(20 * time.Millisecond) // the caller reads the text before the connection ends
@@ -160,9 +165,9 @@
 func TestUnframedResponseToAnUploadThatIsCutIsAnError(t *testing.T) {
 	for ending, end := range endings() {
 		for _, read := range []int{1, 100 << 10} {
-			for _, size := range []int{20_000, 60_000, 300_000, uploadBytes} {
-				if read > size || size < uploadBytes && ending == "half-closed" {
-					continue // the kernel may take the whole body
+			for _, size := range []int{20_000, 60_000, 300_000, uploadBytes, endlessUpload} {
+				if read > size || size < endlessUpload && ending == "half-closed" {
+					continue // the request may be written whole, and no error follows
 				}
 				t.Run(fmt.Sprintf("%s after %d of %d bytes", ending, read, size), func(t *testing.T) {
 					for range 5 {
--- a/internal/transport/httpconn/pool.go
+++ b/internal/transport/httpconn/pool.go
@@ -378,12 +378,12 @@
 		return 0, b.err
 	}
 	n, err := b.ReadCloser.Read(x)
-	if err == io.EOF {
+	if errors.Is(err, io.EOF) {
 		err = b.checkEnd()
 	}
 	if err != nil {
 		b.err = err
-		b.finish(err == io.EOF)
+		b.finish(errors.Is(err, io.EOF))
 	}
 	return n, err
 }
