httpconn: Check heads in one function, and trailers of skipped responses

CheckHead takes the place of CheckStatus and the callers' own sums of checks; the doc comments of both clients say when a body is complete. A trailer section with a malformed name was accepted at the end of a response to an earlier request, though not at the end of the response itself; it is a BadResponse now.

--- a/internal/transport/httpconn/pool.go
+++ b/internal/transport/httpconn/pool.go
@@ -96,6 +96,9 @@
 // connection is closed when ctx ends or when the response's body is closed before its end. After a failure that is not
 // NotSent it is unknown whether the request has arrived; if the upstream sent bytes that are no response to it, the failure
 // is a BadResponse.
+//
+// The body ends with io.EOF only if it is complete. One that ends with its connection before the request has been written
+// completely is not: reading it fails with io.ErrUnexpectedEOF.
 func (p *Pool) Do(ctx context.Context, address string, r *http.Request, body []byte, matches func(a *http.Response, fresh bool) bool) (*http.Response, error) {
 	c, err := p.get(ctx, address)
 	if err != nil {
@@ -254,16 +257,13 @@
 		if err != nil {
 			return nil, err
 		}
-		if err := CheckStatus(a.StatusCode); err != nil {
-			return nil, BadResponse{err}
-		}
 		if a.StatusCode < http.StatusOK {
 			continue
 		}
 		if matches(a, c.fresh) {
 			return a, nil
 		}
-		if err := c.discard(a.Body, &discardBytes); err != nil {
+		if err := c.discard(a, &discardBytes); err != nil {
 			return nil, errors.Wrap(err, "discarding the response to an earlier request")
 		}
 	}
@@ -286,7 +286,7 @@
 	switch {
 	case err == nil:
 		_ = c.SetReadDeadline(time.Time{})
-		if err := CheckFields(a.Header); err != nil {
+		if err := CheckHead(a); err != nil {
 			return nil, BadResponse{err}
 		}
 		return a, nil
@@ -300,10 +300,10 @@
 	return nil, err
 }
 
-// discard reads a body to its end and reduces left by its length.
-func (c *conn) discard(body io.Reader, left *int64) error {
+// discard reads the body of a response to its end and reduces left by its length.
+func (c *conn) discard(a *http.Response, left *int64) error {
 	_ = c.SetReadDeadline(time.Now().Add(discardTimeout))
-	n, err := io.Copy(io.Discard, io.LimitReader(body, *left+1))
+	n, err := io.Copy(io.Discard, io.LimitReader(a.Body, *left+1))
 	*left -= n
 	switch {
 	case *left < 0:
@@ -313,6 +313,9 @@
 	case err != nil:
 		return err
 	}
+	if err := CheckFields(a.Trailer); err != nil {
+		return BadResponse{err}
+	}
 	return c.SetReadDeadline(time.Time{})
 }
 
--- a/internal/transport/httpconn/response.go
+++ b/internal/transport/httpconn/response.go
@@ -7,17 +7,15 @@
 	"github.com/pkg/errors"
 )
 
-// CheckStatus returns an error for the status of a head that net/http parses but that neither is an interim response nor ends a call: one below
-// 100, behind which nothing says what the bytes are, or 101, as no request asks for another protocol. Those above 599 are valid here; a client
-// treats them as a 5xx (RFC 9110, 15).
-func CheckStatus(status int) error {
+// CheckHead returns an error if a head that net/http has parsed is neither that of an interim response nor one that ends a call.
+func CheckHead(a *http.Response) error {
 	switch {
-	case status < http.StatusContinue:
-		return errors.Errorf("the status %03d is below 100", status)
-	case status == http.StatusSwitchingProtocols:
+	case a.StatusCode < http.StatusContinue: // no class, so nothing says what follows it; those above 599 are treated as a 5xx (RFC 9110, 15)
+		return errors.Errorf("the status %03d is below 100", a.StatusCode)
+	case a.StatusCode == http.StatusSwitchingProtocols:
 		return errors.New("the upstream switched to a protocol that no request asks for")
 	}
-	return nil
+	return CheckFields(a.Header)
 }
 
 // CheckFields returns an error if the name of a field in a head or a trailer section is no token (RFC 9110, 5.6.2). Of such names net/http parses
--- a/internal/transport/httpconn/response_test.go
+++ b/internal/transport/httpconn/response_test.go
@@ -93,12 +93,14 @@
 func TestTrailerNameThatIsNoTokenIsNoEnd(t *testing.T) {
 	for _, field := range badNames() {
 		t.Run(field, func(t *testing.T) {
-			u := &upstream{respond: write("HTTP/1.1 200 OK\r\nId: x\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n%s\r\n\r\n", field)}
-			withUpstream(t, u, func(p *httpconn.Pool, _ *fakenet.Net) {
-				b, err := do(p, "x", 0)
-				require.Error(t, err, "got the body %q", b)
-				require.False(t, p.Idle(address))
-			})
+			for id, next := range map[string]string{"x": "", "y": okResponse("x")} { // y is that of an earlier request
+				u := &upstream{respond: write("HTTP/1.1 200 OK\r\nId: %s\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n%s\r\n\r\n%s", id, field, next)}
+				withUpstream(t, u, func(p *httpconn.Pool, _ *fakenet.Net) {
+					b, err := do(p, "x", 0)
+					require.Error(t, err, "got the body %q", b)
+					require.False(t, p.Idle(address))
+				})
+			}
 		})
 	}
 }
--- a/internal/transport/upstream/attempt.go
+++ b/internal/transport/upstream/attempt.go
@@ -16,7 +16,7 @@
 	"snipetack/internal/transport/httpconn"
 )
 
-// minHead is the length of the shortest head in bytes.
+// minHead is the length of the shortest head of an interim response in bytes.
 const minHead = len("HTTP/1.1 102 \r\n\r\n")
 
 // attempt tracks one exchange with an upstream: whether any of the request was written to its connection, and how long
@@ -53,7 +53,8 @@
 	}
 }
 
-// requestWritten reports whether the request has been written without an error, once the connection has ended or ctx has. It must be called only once.
+// requestWritten waits until the request is no longer being written, or ctx ends, and reports whether it was written without an error. It must be
+// called only once.
 func (a *attempt) requestWritten(ctx context.Context) bool {
 	select {
 	case err := <-a.wrote:
@@ -80,8 +81,8 @@
 	a.mark = c.mark()
 }
 
-// gotInterim returns an error, which ends the attempt, for an interim response that is none. As net/http bounds each head only while this hook is
-// set, it also bounds all of them together.
+// gotInterim returns an error, which ends the attempt, for a malformed interim response. With this hook set, net/http bounds each head by itself, so
+// the hook bounds all of them together.
 func (a *attempt) gotInterim(_ int, h textproto.MIMEHeader) error {
 	a.interimBytes += minHead
 	for n, l := range h {
--- a/internal/transport/upstream/client.go
+++ b/internal/transport/upstream/client.go
@@ -51,7 +51,8 @@
 	return &Client{network: n, transports: map[string]*http.Transport{}}
 }
 
-// Do makes one attempt and returns when the response's header has arrived. The caller closes the response's body.
+// Do makes one attempt and returns when the response's header has arrived. The caller closes the response's body, whose
+// reads end with io.EOF only if it is complete.
 //
 // Ran of its Failure is NotRun if no byte can have reached the upstream, and otherwise Unknown.
 func (c *Client) Do(ctx context.Context, l Call) (*http.Response, error) {
@@ -100,21 +101,13 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := checkHead(r); err != nil {
+	if err := httpconn.CheckHead(r); err != nil {
 		_ = r.Body.Close()
 		return nil, err
 	}
 	return r, nil
 }
 
-// checkHead returns an error if a head that net/http has parsed is none of a response.
-func checkHead(r *http.Response) error {
-	if err := httpconn.CheckStatus(r.StatusCode); err != nil {
-		return err
-	}
-	return httpconn.CheckFields(r.Header)
-}
-
 func (c *Client) failure(ctx context.Context, err error, l Call) *result.Failure {
 	if errors.Is(context.Cause(ctx), errNoProgress) {
 		c.closeIdle(l.Upstream.Address)
