--- a/internal/transport/batches/runner_test.go
+++ b/internal/transport/batches/runner_test.go
@@ -14,6 +14,8 @@
 	"snipetack/internal/coordination/batch"
 	"snipetack/internal/state/catalog"
 	"snipetack/internal/state/ledger"
+	"snipetack/internal/testing/rawupstream"
+	"snipetack/internal/transport/network"
 	"snipetack/internal/transport/upstream"
 )
 
@@ -157,3 +159,24 @@
 	require.Contains(t, string(got.Line), strings.Repeat("x", chunks))
 	require.Equal(t, 1, e.conns)
 }
+
+// TestBrokenResponseFailsNoItem guards against an item that is given up as faulty because of a response that is none, or that was cut: its upstream
+// is at fault.
+func TestBrokenResponseFailsNoItem(t *testing.T) {
+	const body = `{"error":"no such model"}`
+	for name, text := range map[string]string{
+		"status below 100":        "HTTP/1.1 000 x\r\nContent-Length: 25\r\n\r\n" + body,
+		"protocol switch":         "HTTP/1.1 101 x\r\n\r\n" + body,
+		"name with a blank":       "HTTP/1.1 400 x\r\nContent-Length : 25\r\n\r\n" + body,
+		"refusal that is cut":     "HTTP/1.1 400 x\r\n\r\n" + body[:10],
+		"response that is no 200": "HTTP/1.1 999 x\r\nContent-Length: 25\r\n\r\n" + body,
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := upstream.New(network.New())
+			defer c.Close()
+			task := batch.Task{Job: ledger.Job{ID: "j", Endpoint: chatPath}, Body: fmt.Appendf(nil, `{"n":2,"model":%q}`, strings.Repeat("m", 4<<20))}
+			e := NewRunner(c, emptyCopy{}, nil).Run(t.Context(), catalog.Upstream{Name: "u", Address: rawupstream.Serve(t, text, 1)}, task)
+			require.Equal(t, batch.Broken, e.End, "%s", e.Line)
+		})
+	}
+}
--- a/internal/transport/gateway/run_test.go
+++ b/internal/transport/gateway/run_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 
@@ -14,6 +15,8 @@
 	"snipetack/internal/coordination/routing"
 	"snipetack/internal/state/catalog"
 	"snipetack/internal/state/result"
+	"snipetack/internal/testing/rawupstream"
+	"snipetack/internal/transport/network"
 	"snipetack/internal/transport/upstream"
 )
 
@@ -113,3 +116,34 @@
 	require.NoError(t, r.relay(newEventReader(io.MultiReader(strings.NewReader(": wait\n\n"), strings.NewReader(b.String()))), &routing.Report{}))
 	require.Equal(t, chunks+1, r.sink.(*discard).chunks)
 }
+
+// TestBrokenRefusalIsNotForwarded guards against a refusal of an engine that is none, or that was cut while the request was written, and reaches the
+// caller; a refusal with a length does.
+func TestBrokenRefusalIsNotForwarded(t *testing.T) {
+	for name, x := range map[string]struct {
+		text      string
+		forwarded bool
+	}{
+		"status below 100":  {text: "HTTP/1.1 099 x\r\nContent-Length: 8\r\n\r\nno, why?"},
+		"protocol switch":   {text: "HTTP/1.1 101 x\r\n\r\nno, why?"},
+		"name with a blank": {text: "HTTP/1.1 400 x\r\nContent-Length : 8\r\n\r\nno, why?"},
+		"cut":               {text: "HTTP/1.1 400 x\r\n\r\nno, "},
+		"length":            {text: "HTTP/1.1 400 x\r\nContent-Length: 8\r\n\r\nno, why?", forwarded: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := upstream.New(network.New())
+			defer c.Close()
+			w := httptest.NewRecorder()
+			r := &engineRun{g: &Gateway{d: Deps{Caller: c}}, response: newAssembler(), ran: result.NotRun, sink: newStreamSink(w), path: "/", body: make([]byte, 4<<20)}
+			err := r.tryConnection(t.Context(), catalog.Upstream{Name: "u", Address: rawupstream.Serve(t, x.text, 1)}, false, &routing.Report{})
+			if x.forwarded {
+				require.ErrorAs(t, err, &errForwarded{})
+				require.Equal(t, "no, why?", w.Body.String())
+				return
+			}
+			require.Equal(t, result.UpstreamBroken, result.Of(err).Code, "%v", err)
+			require.Empty(t, w.Body.String())
+			require.NotEqual(t, result.NotRun, r.ran)
+		})
+	}
+}
--- a/internal/transport/upstream/response_test.go
+++ b/internal/transport/upstream/response_test.go
@@ -1,7 +1,6 @@
 package upstream_test
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -18,6 +17,7 @@
 	"snipetack/internal/state/order"
 	"snipetack/internal/state/result"
 	"snipetack/internal/testing/fakenet"
+	"snipetack/internal/testing/rawupstream"
 	"snipetack/internal/transport/network"
 	"snipetack/internal/transport/upstream"
 )
@@ -175,30 +175,13 @@
 	}
 }
 
-// upload sends a request with a body to an upstream on a real socket that reads so many bytes of the body, answers with a text and closes the
-// connection; it returns the status and body of the response.
+// upload sends a request with a body to an upstream that answers with a text after it has read so many bytes of the body; it returns the status and body
+// of the response.
 func upload(t *testing.T, text string, read, size int) (int, string, error) {
-	l, err := network.New().Listen("127.0.0.1:0")
-	require.NoError(t, err)
-	defer l.Close()
-	go func() {
-		c, err := l.Accept()
-		if err != nil {
-			return
-		}
-		defer c.Close()
-		q, err := http.ReadRequest(bufio.NewReader(c))
-		if err != nil {
-			return
-		}
-		_, _ = io.CopyN(io.Discard, q.Body, int64(read))
-		_, _ = io.WriteString(c, text)
-		time.Sleep(20 * time.Millisecond) // the caller reads the text before the connection ends
-	}()
 	c := upstream.New(network.New())
 	defer c.Close()
-	r, err := c.Do(t.Context(), upstream.Call{Upstream: catalog.Upstream{Name: "u", Address: l.Addr().String()}, Method: http.MethodPost, Path: "/",
-		Body: make([]byte, size), ProgressTimeout: 5 * time.Second})
+	u := catalog.Upstream{Name: "u", Address: rawupstream.Serve(t, text, int64(read))}
+	r, err := c.Do(t.Context(), upstream.Call{Upstream: u, Method: http.MethodPost, Path: "/", Body: make([]byte, size), ProgressTimeout: 5 * time.Second})
 	if err != nil {
 		return 0, "", err
 	}
