httpconn, upstream: Name the errors of body reads

The doc comments say which errors a caller gets, and readHead where its bound is enforced. A field for the error of further reads has one name in both clients, that for the result of a write no longer shares a word with a count of bytes. No behaviour is changed.

--- a/internal/transport/httpconn/pool.go
+++ b/internal/transport/httpconn/pool.go
@@ -97,8 +97,8 @@
 // NotSent it is unknown whether the request has arrived; if the upstream sent bytes that are no response to it, the failure
 // is a BadResponse.
 //
-// The body ends with io.EOF only if it is complete. One that ends with its connection before the request has been written
-// completely is not: reading it fails with io.ErrUnexpectedEOF.
+// Reads of the body end with io.EOF only if it is complete. They fail with io.ErrUnexpectedEOF if it ends with its connection
+// before the request has been written completely, and with a BadResponse after a malformed trailer section.
 func (p *Pool) Do(ctx context.Context, address string, r *http.Request, body []byte, matches func(a *http.Response, fresh bool) bool) (*http.Response, error) {
 	c, err := p.get(ctx, address)
 	if err != nil {
@@ -270,8 +270,8 @@
 	return nil, BadResponse{errors.Errorf("more than %d interim responses and responses to earlier requests", maxSkipped)}
 }
 
-// readHead reads one head and reduces left by its length. The wait for its first byte is bounded only by the request's
-// context.
+// readHead reads one head of at most left bytes, a bound that c.in enforces, and reduces left by its length. The wait for its first
+// byte is bounded only by the request's context, the time from there on by headTimeout.
 func (c *conn) readHead(r *http.Request, left *int64) (*http.Response, error) {
 	c.in.left = *left
 	buffered := c.r.Buffered()
--- a/internal/transport/httpconn/response.go
+++ b/internal/transport/httpconn/response.go
@@ -7,10 +7,11 @@
 	"github.com/pkg/errors"
 )
 
-// CheckHead returns an error if a head that net/http has parsed is neither that of an interim response nor one that ends a call.
+// CheckHead returns an error for a response head that net/http parses but HTTP/1.1 does not allow: one with a status below 100 or a malformed field
+// name, or one that switches protocols unasked.
 func CheckHead(a *http.Response) error {
 	switch {
-	case a.StatusCode < http.StatusContinue: // no class, so nothing says what follows it; those above 599 are treated as a 5xx (RFC 9110, 15)
+	case a.StatusCode < http.StatusContinue: // neither interim nor final; one above 599 is valid here and handled as a 5xx (RFC 9110, 15)
 		return errors.Errorf("the status %03d is below 100", a.StatusCode)
 	case a.StatusCode == http.StatusSwitchingProtocols:
 		return errors.New("the upstream switched to a protocol that no request asks for")
--- a/internal/transport/httpconn/response_test.go
+++ b/internal/transport/httpconn/response_test.go
@@ -13,8 +13,8 @@
 	"snipetack/internal/transport/httpconn"
 )
 
-// requireBadResponse serves the second request of a connection with a text, and each on a new connection too: both must end with a BadResponse, and
-// neither may be sent again.
+// requireBadResponse answers a request with a text, on a new connection and on a used one: the request must fail with a BadResponse, and must not be
+// sent again.
 func requireBadResponse(t *testing.T, text string) {
 	for _, earlier := range []int{0, 1} {
 		u := &upstream{}
--- a/internal/transport/upstream/attempt.go
+++ b/internal/transport/upstream/attempt.go
@@ -29,11 +29,11 @@
 	conn            *conn
 	mark            int64      // bytes written to conn before this attempt
 	interimBytes    int        // of interim responses
-	wrote           chan error // gets the result of writing the request
+	writeResult     chan error // gets the error of writing the request, or nil
 }
 
 func newAttempt(cancel context.CancelCauseFunc, progressTimeout time.Duration) *attempt {
-	a := &attempt{cancel: cancel, progressTimeout: progressTimeout, wrote: make(chan error, 1)}
+	a := &attempt{cancel: cancel, progressTimeout: progressTimeout, writeResult: make(chan error, 1)}
 	if progressTimeout > 0 {
 		a.timer = time.AfterFunc(progressTimeout, func() { cancel(errNoProgress) })
 	}
@@ -48,7 +48,7 @@
 
 func (a *attempt) wroteRequest(i httptrace.WroteRequestInfo) {
 	select {
-	case a.wrote <- i.Err:
+	case a.writeResult <- i.Err:
 	default:
 	}
 }
@@ -57,7 +57,7 @@
 // called only once.
 func (a *attempt) requestWritten(ctx context.Context) bool {
 	select {
-	case err := <-a.wrote:
+	case err := <-a.writeResult:
 		if err != nil {
 			return false
 		}
@@ -138,29 +138,31 @@
 	ctx       context.Context
 	upstream  string
 	onTimeout func() // called when a read fails for want of progress
-	end       error  // of all reads from the end of the body on; nil before it
+	err       error  // of all further reads; nil until the end
 }
 
 // Read reads the response. The progress timeout runs only during reads, so a slow reader can't exceed it.
-// Ran of a Failure is DidRun.
+//
+// Its errors are io.EOF at the end of a complete body, and a Failure whose Ran is DidRun and whose Code is UpstreamSilent after the progress
+// timeout, otherwise UpstreamBroken.
 func (b *responseBody) Read(p []byte) (int, error) {
-	if b.end != nil {
-		return 0, b.end
+	if b.err != nil {
+		return 0, b.err
 	}
 	b.attempt.restartTimer()
 	n, err := b.ReadCloser.Read(p)
 	b.attempt.pauseTimer()
 	switch {
 	case errors.Is(err, io.EOF):
-		b.end = b.checkEnd()
+		b.err = b.checkEnd()
 	case err == nil:
 	case errors.Is(context.Cause(b.ctx), errNoProgress):
 		b.onTimeout()
-		b.end = result.New(result.UpstreamSilent, "upstream %s made no progress", b.upstream).WithRan(result.DidRun)
+		b.err = result.New(result.UpstreamSilent, "upstream %s made no progress", b.upstream).WithRan(result.DidRun)
 	default:
-		b.end = b.broken(err)
+		b.err = b.broken(err)
 	}
-	return n, b.end
+	return n, b.err
 }
 
 // checkEnd returns io.EOF at the end of a complete body. One that ends with its connection is complete only if the request has been written
--- a/internal/transport/upstream/client.go
+++ b/internal/transport/upstream/client.go
@@ -52,7 +52,7 @@
 }
 
 // Do makes one attempt and returns when the response's header has arrived. The caller closes the response's body, whose
-// reads end with io.EOF only if it is complete.
+// reads end with io.EOF only if it is complete, and otherwise with a Failure.
 //
 // Ran of its Failure is NotRun if no byte can have reached the upstream, and otherwise Unknown.
 func (c *Client) Do(ctx context.Context, l Call) (*http.Response, error) {
