--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -21,6 +21,7 @@
 func cases() map[string]play {
 	return map[string]play{
 		"founding":   playFounding,
+		"framing":    playFraming,
 		"registered": playRegistered,
 		"takeup":     playTakeup,
 		"wave":       playWave,
