quarantine: Hear all VMs before crashes of one moment quarantine a segment

Callers saw: an accepted job whose items are never sent again (LOST). Three of 20 upstreams crash at one moment, just after a job began to run: within 0.3 s all 80 items stop, those at the 17 upstreams that run on, too.

Cause: each crash counted as independent evidence against the segments of the prompts whose responses had just begun there. Three crashes of one cause sufficed for a segment of which no sound response was known yet. That the responses with the same segment at the other upstreams had begun, too, and went on counted for nothing, as they could show it only after the verdict.

Change: a quarantine waits, for up to 1.5 s, while its crashes lie within 100 ms of each other, or while a VM reports that it awaits a response with the segment that began at an upstream which runs on. VMs name what they await in their reports (field 27, which older builds skip) and report at once which suspects of their own crashes have gone on since. Requests are judged by their fingerprints in the same way.

--- a/internal/command/node/control.go
+++ b/internal/command/node/control.go
@@ -61,6 +61,7 @@
 	leaving map[string]time.Time // when this VM first saw that a batch VM leaves, by name
 
 	unresponsive         atomic.Int64 // entry VMs that the owner of the limits does not reach
+	loggedWaiting        []string     // suspects in the last log line on waiting quarantines
 	loggedUnresponsive   []string     // addresses in the last log line
 	unresponsiveLoggedAt time.Time
 }
@@ -226,6 +227,7 @@
 		c.roster.Expire(now)
 		initialMembers := c.roster.InitialMembers(now, c.n.voters())
 		quarantine, changed := c.roster.Quarantine(now, state)
+		c.logWaitingQuarantines()
 		evacuates, all := c.roster.EvacuationSupport(now, c.members(), state)
 		c.logUnresponsive(now)
 		c.mu.Unlock()
@@ -248,6 +250,18 @@
 	return nil
 }
 
+// logWaitingQuarantines logs which prompts and requests may be quarantined soon when that has changed. c.mu is held.
+func (c *control) logWaitingQuarantines() {
+	l := c.roster.WaitingQuarantines()
+	if slices.Equal(l, c.loggedWaiting) {
+		return
+	}
+	c.loggedWaiting = l
+	if len(l) > 0 {
+		c.n.Log.Info("quarantine waits for sound responses", "count", len(l), "suspects", l[:min(len(l), maxLoggedSegments)])
+	}
+}
+
 // logUnresponsive logs which entry VMs are out of reach when that has changed, at most every unresponsiveInterval. c.mu is held.
 func (c *control) logUnresponsive(now time.Time) {
 	l := c.roster.Shares().Unresponsive(now)
--- a/internal/coordination/quarantine/detector.go
+++ b/internal/coordination/quarantine/detector.go
@@ -25,6 +25,11 @@
 	maxQuarantine = 8           // segments of one quarantine
 	maxSuspected  = 64          // segments in Suspects
 
+	// Upstreams that share a host, a rack or a data centre end together for a cause that no request has. Crashes of one moment therefore
+	// quarantine nothing until all VMs have had the time to hear of the suspects and to report that responses with them went on elsewhere.
+	sameMoment = 100 * time.Millisecond  // between the first and the last of such crashes, as VMs report them
+	maxHold    = 1500 * time.Millisecond // for which a quarantine waits: twice the interval of reports in a large fleet, and their way
+
 	// Without enough sound responses nothing shows which segments are common. Then five crashes are required, and a quarantine has
 	// at least two segments, of which one may be common, and explains nearly all crashes.
 	minWeightUnobserved    = 20
@@ -37,10 +42,14 @@
 	ends    []*end
 	matched map[string]time.Time // when a quarantine last held a prompt back, by its key
 	cleared map[string]time.Time // when a suspected segment was last in a sound response
+	awaited map[string]awaited   // by VM
+
+	sufficientSince map[string]time.Time // when the evidence against a segment or a request became sufficient
 
 	changed  bool     // evidence has come since Decide
 	decided  string   // keys of the quarantines in force at the last Decide
 	suspects []string // as of then
+	waiting  []string // likewise
 }
 
 // end is the end of one upstream as all VMs saw it.
@@ -50,9 +59,25 @@
 	reports  map[string]Crash // by VM
 }
 
+// awaited is what a VM has reported last of suspects whose responses may go on.
+type awaited struct {
+	at   time.Time
+	keys []string
+}
+
 // NewDetector returns a Detector without reports.
 func NewDetector() *Detector {
-	return &Detector{matched: map[string]time.Time{}, cleared: map[string]time.Time{}}
+	return &Detector{matched: map[string]time.Time{}, cleared: map[string]time.Time{}, awaited: map[string]awaited{},
+		sufficientSince: map[string]time.Time{}}
+}
+
+// Await records which suspects' responses a VM awaits at upstreams that run on; nil if there are none.
+func (d *Detector) Await(now time.Time, vm string, suspects []string) {
+	if len(suspects) == 0 {
+		delete(d.awaited, vm)
+		return
+	}
+	d.awaited[vm] = awaited{now, suspects}
 }
 
 // Report adds the crashes that a VM has seen; a later report of the same crash by the VM replaces the earlier one. matched lists
@@ -103,16 +128,18 @@
 	if !d.changed && keys == d.decided {
 		return nil
 	}
-	d.changed, d.decided = false, keys
-	out := d.requests(inForce)
+	d.decided = keys
+	h := &hold{d: d, now: now, since: map[string]time.Time{}, waiting: map[string]bool{}}
+	out := d.requests(h, inForce)
 	for {
-		q, ok := d.next(slices.Concat(inForce, out))
+		q, ok := d.next(h, slices.Concat(inForce, out))
 		if !ok {
 			break
 		}
 		out = append(out, q)
 	}
-	d.changed = len(out) > 0 // the caller may fail to put them in force
+	d.sufficientSince, d.waiting = h.since, slices.Sorted(maps.Keys(h.waiting))
+	d.changed = len(out)+len(d.waiting) > 0 // the caller may fail to put them in force
 	d.suspects = d.mostSuspected(slices.Concat(inForce, out))
 	return out
 }
@@ -120,6 +147,9 @@
 // Suspects returns the segments and the fingerprints of requests against which there was most evidence at the last Decide, a bounded number of each.
 func (d *Detector) Suspects() []string { return d.suspects }
 
+// Waiting returns the segments and the fingerprints of requests whose quarantine waited at the last Decide, although there was evidence enough.
+func (d *Detector) Waiting() []string { return d.waiting }
+
 func (d *Detector) mostSuspected(quarantines []plan.Quarantine) []string {
 	shares, observed := d.shares()
 	e := d.evidence(shares, observed, quarantines)
@@ -131,12 +161,12 @@
 
 // next returns the quarantine of the segment that explains most crashes beyond those that quarantines explain already. While
 // common segments are not observed, it prefers the quarantine with most segments and narrows none.
-func (d *Detector) next(quarantines []plan.Quarantine) (plan.Quarantine, bool) {
+func (d *Detector) next(h *hold, quarantines []plan.Quarantine) (plan.Quarantine, bool) {
 	shares, observed := d.shares()
 	evidence := d.evidence(shares, observed, quarantines)
 	var candidates []string
 	for s, e := range evidence {
-		if e.sufficient(observed) {
+		if e.sufficient(observed) && !h.holds(s, e.first, e.last) {
 			candidates = append(candidates, s)
 		}
 	}
@@ -156,6 +186,42 @@
 	return plan.Quarantine{}, false
 }
 
+// hold is which verdicts wait at one Decide.
+type hold struct {
+	d       *Detector
+	now     time.Time
+	since   map[string]time.Time // when the evidence became sufficient, by segment or fingerprint
+	waiting map[string]bool
+}
+
+// holds reports whether the verdict on a segment or a request with sufficient evidence has to wait: its crashes, the first and the last of
+// which were at these times, may have a common cause, or a response that has begun elsewhere may clear it.
+func (h *hold) holds(key string, first, last time.Time) bool {
+	since, ok := h.d.sufficientSince[key]
+	if !ok {
+		since = h.now
+	}
+	h.since[key] = since
+	if h.now.Sub(since) >= maxHold {
+		return false
+	}
+	if last.Sub(first) >= sameMoment && !h.d.awaits(h.now, key) {
+		return false
+	}
+	h.waiting[key] = true
+	return true
+}
+
+// awaits reports whether a VM awaits a response with a segment or to a request at an upstream that runs on.
+func (d *Detector) awaits(now time.Time, key string) bool {
+	for _, a := range d.awaited {
+		if now.Sub(a.at) < awaitedTime && slices.Contains(a.keys, key) {
+			return true
+		}
+	}
+	return false
+}
+
 // Expired returns the quarantines that held no prompt back for Retention; those that this Detector has not seen before count
 // from now on.
 func (d *Detector) Expired(now time.Time, inForce []plan.Quarantine) []plan.Quarantine {
@@ -194,6 +260,7 @@
 			delete(d.cleared, s)
 		}
 	}
+	maps.DeleteFunc(d.awaited, func(_ string, a awaited) bool { return now.Sub(a.at) >= awaitedTime })
 }
 
 // shares returns the share of sound prompts that have a segment, and whether enough of them were seen: the greatest of the shares that single
@@ -240,6 +307,8 @@
 
 // evidence is what speaks against one segment.
 type evidence struct {
+	first      time.Time       // of its crashes
+	last       time.Time       // of its crashes
 	weight     float64         // of the crashes that it explains
 	share      float64         // of sound prompts with the segment
 	chance     float64         // weight that chance gives a segment of its share in the other crashes
@@ -250,8 +319,14 @@
 	companions []string        // segments of all suspects that have it, itself included, sorted
 }
 
-// add adds a suspect; counted says that another suspect of the same crash has the segment as well.
-func (e *evidence) add(x Suspect, suspects int, weight float64, counted bool) {
+// add adds a suspect of a crash; counted says that another suspect of the same crash has the segment as well.
+func (e *evidence) add(at time.Time, x Suspect, suspects int, weight float64, counted bool) {
+	if e.first.IsZero() || at.Before(e.first) {
+		e.first = at
+	}
+	if at.After(e.last) {
+		e.last = at
+	}
 	e.companions = slices.DeleteFunc(e.companions, func(c string) bool { return !slices.Contains(x.Segments, c) })
 	if x.Fingerprint == "" {
 		e.unknown++
@@ -307,7 +382,7 @@
 				if m[s] == nil {
 					m[s] = &evidence{companions: sortedSet(x.Segments), sizes: map[int]float64{}, requests: map[string]bool{}}
 				}
-				m[s].add(x, len(suspects), weight, counted[s])
+				m[s].add(e.at, x, len(suspects), weight, counted[s])
 				counted[s] = true
 			}
 		}
--- a/internal/coordination/quarantine/detector_test.go
+++ b/internal/coordination/quarantine/detector_test.go
@@ -19,10 +19,16 @@
 	return quarantine.Crash{Upstream: upstream, Observed: 100, Suspects: []quarantine.Suspect{{Begun: true, Segments: segments}}}
 }
 
-// decide returns the keys of the quarantines that a new Detector adds after reports of one VM.
+// crashPause is between crashes that have no common cause.
+const crashPause = 200 * time.Millisecond
+
+// decide returns the keys of the quarantines that a new Detector adds after reports of one VM; the crashes came crashPause apart.
 func decide(inForce []plan.Quarantine, l ...quarantine.Crash) []string {
 	now := time.Unix(1000, 0)
 	d := quarantine.NewDetector()
+	for i := range l {
+		l[i].Age = time.Duration(len(l)-1-i) * crashPause
+	}
 	d.Report(now, "vm", l, nil, nil)
 	var keys []string
 	for _, q := range d.Decide(now, inForce) {
@@ -135,6 +141,7 @@
 	now = now.Add(2 * time.Second)
 	d.Report(now, "vm", []quarantine.Crash{crashOf("3", "p"), crashOf("4", "p")}, nil, nil)
 	require.Empty(t, d.Decide(now, nil))
+	now = now.Add(crashPause)
 	d.Report(now, "vm", []quarantine.Crash{crashOf("5", "p")}, nil, nil)
 	require.Len(t, d.Decide(now, nil), 1)
 }
@@ -244,6 +251,15 @@
 	}
 }
 
+// requireNoQuarantine asserts that nothing is quarantined now, nor later while no VM reports anything more.
+func requireNoQuarantine(t *testing.T, d *quarantine.Detector, now time.Time, message string, args ...any) {
+	require.Empty(t, d.Decide(now, nil), append([]any{message}, args...)...)
+	require.Empty(t, d.Decide(now.Add(contactTime), nil), append([]any{message}, args...)...)
+}
+
+// contactTime is how long after the crashes a verdict is due.
+const contactTime = 3 * time.Second
+
 // TestSiteCrashWaveQuarantinesNothing ends many upstreams at once, again and again, while each has requests in flight.
 func TestSiteCrashWaveQuarantinesNothing(t *testing.T) {
 	for ends, n := range map[int]uint64{9: 100, 256: 20} {
@@ -254,7 +270,7 @@
 				for range ends {
 					m.end(nil)
 				}
-				require.Empty(t, m.d.Decide(m.now, nil), "seed %d, %d ends", seed, ends)
+				requireNoQuarantine(t, m.d, m.now, "seed %d, %d ends", seed, ends)
 			}
 		}
 	}
@@ -303,7 +319,7 @@
 				}
 				d.Report(now, fmt.Sprint("vm-", vm), []quarantine.Crash{c}, nil, nil)
 			}
-			require.Empty(t, d.Decide(now, nil), "seed %d, after %d ends", seed, e+1)
+			requireNoQuarantine(t, d, now, "seed %d, after %d ends", seed, e+1)
 		}
 	}
 }
--- a/internal/coordination/quarantine/request.go
+++ b/internal/coordination/quarantine/request.go
@@ -6,6 +6,7 @@
 	"math"
 	"slices"
 	"strings"
+	"time"
 
 	"snipetack/internal/state/plan"
 )
@@ -21,7 +22,7 @@
 // requests returns a quarantine for each request that crashes upstreams and is not in quarantine. Requests that were at the same crashes
 // can't be told apart, and all of them are quarantined: a sound one that is held back costs its caller, a bad one that is not costs
 // upstreams. For the same reason one whose response had begun is no better suspect than the others.
-func (d *Detector) requests(inForce []plan.Quarantine) []plan.Quarantine {
+func (d *Detector) requests(h *hold, inForce []plan.Quarantine) []plan.Quarantine {
 	crashes := d.requestCrashes()
 	for _, q := range inForce {
 		delete(crashes, q.Fingerprint())
@@ -29,7 +30,8 @@
 	shares := d.requestShares()
 	var out []plan.Quarantine
 	for _, f := range slices.Sorted(maps.Keys(crashes)) {
-		if s := shares[f]; float64(crashes[f]) >= minRequestCrashes*(1+shareFactor*s)+chanceFactor*d.chance(s) {
+		s, c := shares[f], crashes[f]
+		if float64(c.n) >= minRequestCrashes*(1+shareFactor*s)+chanceFactor*d.chance(s) && !h.holds(f, c.first, c.last) {
 			out = append(out, plan.Quarantine{Segments: []string{f}})
 		}
 	}
@@ -39,21 +41,36 @@
 // suspectedRequests returns the fingerprints of the requests with most crashes, up to maxSuspectedRequests.
 func (d *Detector) suspectedRequests() []string {
 	crashes := d.requestCrashes()
-	maps.DeleteFunc(crashes, func(_ string, n int) bool { return n < minSuspicion })
+	maps.DeleteFunc(crashes, func(_ string, c requestCrashes) bool { return c.n < minSuspicion })
 	l := slices.SortedFunc(maps.Keys(crashes), func(a, b string) int {
-		return cmp.Or(cmp.Compare(crashes[b], crashes[a]), strings.Compare(a, b))
+		return cmp.Or(cmp.Compare(crashes[b].n, crashes[a].n), strings.Compare(a, b))
 	})
 	return l[:min(len(l), maxSuspectedRequests)]
 }
 
-// requestCrashes returns the number of crashes of each request, by fingerprint. Those before its last sound response do not count.
-func (d *Detector) requestCrashes() map[string]int {
-	m := map[string]int{}
+// requestCrashes are the crashes at which one request was in flight.
+type requestCrashes struct {
+	n           int
+	first, last time.Time
+}
+
+// requestCrashes returns the crashes of each request, by fingerprint. Those before its last sound response do not count.
+func (d *Detector) requestCrashes() map[string]requestCrashes {
+	m := map[string]requestCrashes{}
 	for _, e := range d.ends {
 		for f := range e.requests() {
-			if e.at.After(d.cleared[f]) {
-				m[f]++
+			if !e.at.After(d.cleared[f]) {
+				continue
+			}
+			c := m[f]
+			c.n++
+			if c.first.IsZero() || e.at.Before(c.first) {
+				c.first = e.at
+			}
+			if e.at.After(c.last) {
+				c.last = e.at
 			}
+			m[f] = c
 		}
 	}
 	return m
--- a/internal/coordination/quarantine/request_test.go
+++ b/internal/coordination/quarantine/request_test.go
@@ -119,6 +119,7 @@
 	now = now.Add(time.Second)
 	d.Report(now, "vm", []quarantine.Crash{crashUnder("3", "q"), crashUnder("4", "q")}, nil, nil)
 	require.Empty(t, d.Decide(now, nil))
+	now = now.Add(crashPause)
 	d.Report(now, "vm", []quarantine.Crash{crashUnder("5", "q")}, nil, nil)
 	require.Len(t, d.Decide(now, nil), 1)
 }
@@ -147,7 +148,7 @@
 				}
 				d.Report(now, "vm", []quarantine.Crash{c}, nil, nil)
 			}
-			require.Empty(t, d.Decide(now, nil), "share %d, seed %d", share, seed)
+			requireNoQuarantine(t, d, now, "share %d, seed %d", share, seed)
 		}
 	}
 }
--- a/internal/coordination/quarantine/tracker.go
+++ b/internal/coordination/quarantine/tracker.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -26,7 +27,9 @@
 	frequentCount   = 2                     // sound responses from which on a segment may be frequent
 	frequentShare   = 0.04                  // of the sound responses; segments in more of them are frequent
 	maxFrequent     = 16                    // frequent segments in a report
+	maxAwaited      = 128                   // suspects in Awaited
 	minObservations = 20                    // responses without which no segment is known as common
+	awaitedTime     = time.Second           // after its head, for which a response may be about to go on; upstreams pause for less between events
 )
 
 // Crash is what one VM saw of the end of an upstream.
@@ -72,7 +75,8 @@
 	lastNumber  uint64
 	total       uint64 // crashes so far
 
-	suspected []string // by the leading control VM: segments and fingerprints
+	suspected []string          // by the leading control VM: segments and fingerprints
+	started   map[*Run]struct{} // whose response has begun and has not gone on so far
 
 	segments, requests memory // sound responses by segment and by fingerprint
 }
@@ -100,6 +104,7 @@
 		breaks:      map[string]*breakOff{},
 		segments:    newMemory(),
 		requests:    newMemory(),
+		started:     map[*Run]struct{}{},
 	}
 }
 
@@ -109,6 +114,7 @@
 	upstream string
 	subject  Subject
 	begun    bool
+	begunAt  time.Time
 	events   int
 }
 
@@ -130,10 +136,14 @@
 	if !r.tracked() {
 		return
 	}
-	r.begun = true
+	now := time.Now()
 	r.t.mu.Lock()
 	defer r.t.mu.Unlock()
-	r.t.respondedAt[r.upstream] = time.Now()
+	r.begun, r.begunAt = true, now
+	r.t.respondedAt[r.upstream] = now
+	if r.events < soundEvents {
+		r.t.started[r] = struct{}{}
+	}
 }
 
 // Events records n more events of the response. After soundEvents the response counts as sound.
@@ -148,6 +158,7 @@
 	before := r.events
 	r.events += n
 	if before < soundEvents && r.events >= soundEvents {
+		delete(r.t.started, r)
 		r.t.segments.record(now, r.subject.Segments...)
 		if r.subject.Fingerprint != "" {
 			r.t.requests.record(now, r.subject.Fingerprint)
@@ -167,6 +178,7 @@
 	t := r.t
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	delete(t.started, r)
 	if brokeOff {
 		t.recordBreak(now, r)
 	}
@@ -203,7 +215,8 @@
 	t.suspected = l
 }
 
-// Clearances returns when the suspects were last seen in a sound response; those that were not are left out.
+// Clearances returns when the suspects were last seen in a sound response; those that were not are left out. Suspects of crashes that this
+// VM saw lately count, too, as the leading control VM may name them only later.
 func (t *Tracker) Clearances() []Clearance {
 	now := time.Now()
 	t.mu.Lock()
@@ -211,16 +224,77 @@
 	t.segments.rotate(now)
 	t.requests.rotate(now)
 	var l []Clearance
+	added := map[string]bool{}
+	add := func(key string, after time.Time) {
+		if last := t.soundAt(key); last.After(after) && !added[key] {
+			added[key] = true
+			l = append(l, Clearance{Segment: key, Age: now.Sub(last)})
+		}
+	}
+	for _, s := range t.suspected {
+		add(s, time.Time{})
+	}
+	for s, at := range t.recentSuspects(now) {
+		add(s, at)
+	}
+	return l
+}
+
+// Awaited returns the suspects, as Clearances has them, with which a response has begun at an upstream that has not crashed since: it
+// clears them if it goes on.
+func (t *Tracker) Awaited() []string {
+	now := time.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	suspects := t.recentSuspects(now)
 	for _, s := range t.suspected {
-		m := &t.segments
-		if strings.HasPrefix(s, plan.FingerprintPrefix) {
-			m = &t.requests
+		suspects[s] = now
+	}
+	if len(suspects) == 0 {
+		return nil
+	}
+	found := map[string]bool{}
+	for r := range t.started {
+		// One that has begun just now may crash its upstream yet.
+		if d := now.Sub(r.begunAt); d < settleTime || d > awaitedTime || t.breaks[r.upstream] != nil {
+			continue
 		}
-		if last := m.of(s).last; !last.IsZero() {
-			l = append(l, Clearance{Segment: s, Age: now.Sub(last)})
+		for _, s := range append([]string{r.subject.Fingerprint}, r.subject.Segments...) {
+			if _, ok := suspects[s]; ok && s != "" {
+				found[s] = true
+			}
 		}
 	}
-	return l
+	l := slices.Sorted(maps.Keys(found))
+	return l[:min(len(l), maxAwaited)]
+}
+
+// recentSuspects returns the segments and fingerprints of the suspects of the crashes that this VM saw within maxHold, with the time of
+// the last one.
+func (t *Tracker) recentSuspects(now time.Time) map[string]time.Time {
+	m := map[string]time.Time{}
+	for _, c := range t.crashes { // in the order of time
+		if now.Sub(c.at) > maxHold {
+			continue
+		}
+		for _, x := range c.suspects {
+			if x.Fingerprint != "" {
+				m[x.Fingerprint] = c.at
+			}
+			for _, s := range x.Segments {
+				m[s] = c.at
+			}
+		}
+	}
+	return m
+}
+
+// soundAt returns when a segment or a request was last in a sound response; it is zero if that is not remembered.
+func (t *Tracker) soundAt(key string) time.Time {
+	if strings.HasPrefix(key, plan.FingerprintPrefix) {
+		return t.requests.of(key).last
+	}
+	return t.segments.of(key).last
 }
 
 // Total returns the number of crashes seen so far.
--- a/internal/coordination/roster/codec.go
+++ b/internal/coordination/roster/codec.go
@@ -40,6 +40,7 @@
 	encodeCold(e, 21, r.Cold)
 	e.Uint(25, r.EvacuationRevision)
 	e.Bool(26, r.Evacuates)
+	e.Texts(27, r.Awaited)
 	return e.Encoded()
 }
 
@@ -93,6 +94,8 @@
 			r.EvacuationRevision = d.Uint()
 		case 26:
 			r.Evacuates = d.Bool()
+		case 27:
+			r.Awaited = append(r.Awaited, d.Text())
 		}
 	}
 	return r, d.Err()
--- a/internal/coordination/roster/roster.go
+++ b/internal/coordination/roster/roster.go
@@ -145,6 +145,7 @@
 func (r *Roster) Report(now time.Time, p Report, s plan.State, accounts []string) Bulletin {
 	r.record(now, p)
 	r.crashes.Report(now, p.VM.Address, p.Crashes, p.Matched, p.Cleared)
+	r.crashes.Await(now, p.VM.Address, p.Awaited)
 	r.limits.Observe(now, p.Limits)
 	entries := r.countEntries(now)
 	b := Bulletin{Leads: true, Entries: entries, Fleet: r.fleet(now), Epoch: r.epoch, Limits: r.limits.Limits(now), Suspects: r.crashes.Suspects(), Version: s.Version, InitialMembers: s.InitialMembers, Leaving: s.Leaving,
@@ -191,6 +192,9 @@
 	}
 }
 
+// WaitingQuarantines returns the segments and the fingerprints of requests that may be quarantined soon.
+func (r *Roster) WaitingQuarantines() []string { return r.crashes.Waiting() }
+
 // Quarantine returns the command that adds or releases one quarantine, or false when the reports require none.
 func (r *Roster) Quarantine(now time.Time, s plan.State) (plan.Command, bool) {
 	for _, q := range r.crashes.Decide(now, s.Quarantines) {
