quarantine, batchrun: Let single items probe a quarantine, and release it when one goes on

Callers saw: where the evidence against a segment was wrong, accepted items with it were held until the route gave them up, and the quarantine lasted as long as such items waited.

Cause: each look at a held item counts as a use of the quarantine, so it never expired, and no sound response could clear the segment, as nothing with it was sent. What was in force was never judged again: the Detector asks the VMs for sound responses to suspects only, not to quarantined segments.

If a probe's response goes on, the VM reports that its quarantines are refuted (field 28, which older builds skip), and the leading control VM releases them and forgets the crashes before.

Online requests have no probe yet: they are refused as before. A quarantine that both hold ends for both.

--- a/internal/command/node/member.go
+++ b/internal/command/node/member.go
@@ -567,7 +567,7 @@
 	}
 	due := !time.Now().Before(m.directAt)
 	r := m.newReport(due || !m.mirrored())
-	news := len(r.Crashes)+len(r.Cleared)+len(r.Awaited)+len(r.Matched)+len(r.Limits)+len(r.Cold) > 0 || r.Leads
+	news := len(r.Crashes)+len(r.Cleared)+len(r.Awaited)+len(r.Refuted)+len(r.Matched)+len(r.Limits)+len(r.Cold) > 0 || r.Leads
 	from = m.target(at, due || news)
 	b, err = m.call(ctx, from, roster.EncodeReport(r))
 	if b.Leads {
@@ -662,6 +662,7 @@
 	r.QuarantineRevision, r.Matched = m.quarantines.Revision(), m.quarantines.TakeMatched()
 	r.Crashes, m.sentCrash = m.crashes.Reports(m.reportedCrash)
 	r.Cleared, r.Awaited = m.crashes.Clearances(), m.crashes.Awaited()
+	r.Refuted = m.quarantines.Refuted()
 	r.Limits = m.limits.TakeChanged()
 	r.Cold = m.warmup.TakeNews(time.Now())
 	return r
--- a/internal/coordination/quarantine/detector.go
+++ b/internal/coordination/quarantine/detector.go
@@ -42,6 +42,7 @@
 	ends    []*end
 	matched map[string]time.Time // when a quarantine last held a prompt back, by its key
 	cleared map[string]time.Time // when a suspected segment was last in a sound response
+	refuted map[string]time.Time // when a prompt that a quarantine matches had a sound response, by its key
 	awaited map[string]awaited   // by VM
 
 	sufficientSince map[string]time.Time // when the evidence against a segment or a request became sufficient
@@ -67,7 +68,7 @@
 
 // NewDetector returns a Detector without reports.
 func NewDetector() *Detector {
-	return &Detector{matched: map[string]time.Time{}, cleared: map[string]time.Time{}, awaited: map[string]awaited{},
+	return &Detector{matched: map[string]time.Time{}, cleared: map[string]time.Time{}, refuted: map[string]time.Time{}, awaited: map[string]awaited{},
 		sufficientSince: map[string]time.Time{}}
 }
 
@@ -80,6 +81,13 @@
 	d.awaited[vm] = awaited{now, suspects}
 }
 
+// Refute records the keys of quarantines in force of which a prompt that they match had a sound response.
+func (d *Detector) Refute(now time.Time, keys []string) {
+	for _, k := range keys {
+		d.refuted[k] = now
+	}
+}
+
 // Report adds the crashes that a VM has seen; a later report of the same crash by the VM replaces the earlier one. matched lists
 // the keys of quarantines that held a prompt back there, and cleared the suspects that were in sound responses.
 func (d *Detector) Report(now time.Time, vm string, l []Crash, matched []string, cleared []Clearance) {
@@ -222,6 +230,27 @@
 	return false
 }
 
+// Released returns the quarantines that a sound response has refuted. Crashes before it don't count against their segments any more.
+func (d *Detector) Released(inForce []plan.Quarantine) []plan.Quarantine {
+	var l []plan.Quarantine
+	for _, q := range inForce {
+		at, ok := d.refuted[q.Key()]
+		if !ok {
+			continue
+		}
+		l = append(l, q)
+		for _, s := range q.Segments {
+			if at.After(d.cleared[s]) {
+				d.cleared[s], d.changed = at, true
+			}
+		}
+	}
+	maps.DeleteFunc(d.refuted, func(k string, _ time.Time) bool {
+		return !slices.ContainsFunc(l, func(q plan.Quarantine) bool { return q.Key() == k })
+	})
+	return l
+}
+
 // Expired returns the quarantines that held no prompt back for Retention; those that this Detector has not seen before count
 // from now on.
 func (d *Detector) Expired(now time.Time, inForce []plan.Quarantine) []plan.Quarantine {
--- a/internal/coordination/quarantine/list.go
+++ b/internal/coordination/quarantine/list.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -17,6 +18,7 @@
 	revision uint64
 	rules    []plan.Quarantine
 	matched  map[string]bool // keys of the quarantines that held a request back since TakeMatched
+	refuted  map[string]bool // keys of the quarantines in force of which a request that they match had a sound response
 	watches  map[*watch]struct{}
 }
 
@@ -28,7 +30,7 @@
 
 // NewList returns an empty List.
 func NewList() *List {
-	return &List{matched: map[string]bool{}, watches: map[*watch]struct{}{}}
+	return &List{matched: map[string]bool{}, refuted: map[string]bool{}, watches: map[*watch]struct{}{}}
 }
 
 // Revision returns the revision of the quarantines in force; 0 before the first ones.
@@ -45,6 +47,17 @@
 	return len(l.rules)
 }
 
+// Keys returns the keys of the quarantines in force.
+func (l *List) Keys() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	keys := make([]string, 0, len(l.rules))
+	for _, q := range l.rules {
+		keys = append(keys, q.Key())
+	}
+	return keys
+}
+
 // Adopt puts quarantines in force unless newer ones are, reports whether it did, and calls the blocked functions of the
 // watches whose prompts they hold back.
 func (l *List) Adopt(revision uint64, rules []plan.Quarantine) bool {
@@ -54,6 +67,9 @@
 		return false
 	}
 	l.revision, l.rules = revision, slices.Clone(rules)
+	maps.DeleteFunc(l.refuted, func(k string, _ bool) bool {
+		return !slices.ContainsFunc(rules, func(q plan.Quarantine) bool { return q.Key() == k })
+	})
 	var blocked []func()
 	for w := range l.watches {
 		if l.match(w.subject) {
@@ -104,12 +120,49 @@
 	return keys
 }
 
+// Holding returns the keys of the quarantines that hold a request back.
+func (l *List) Holding(s Subject) []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var keys []string
+	for _, q := range l.rules {
+		if matches(q, s) {
+			l.matched[q.Key()] = true
+			keys = append(keys, q.Key())
+		}
+	}
+	return keys
+}
+
+// Refute records that a request had a sound response: the quarantines that match it are wrong.
+func (l *List) Refute(s Subject) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, q := range l.rules {
+		if matches(q, s) {
+			l.refuted[q.Key()] = true
+		}
+	}
+}
+
+// Refuted returns the keys of the quarantines in force that were refuted.
+func (l *List) Refuted() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Sorted(maps.Keys(l.refuted))
+}
+
 func (l *List) match(s Subject) bool {
 	for _, q := range l.rules {
-		if f := q.Fingerprint(); f != "" && f == s.Fingerprint || q.Matches(s.Segments) {
+		if matches(q, s) {
 			l.matched[q.Key()] = true
 			return true
 		}
 	}
 	return false
 }
+
+func matches(q plan.Quarantine, s Subject) bool {
+	f := q.Fingerprint()
+	return f != "" && f == s.Fingerprint || q.Matches(s.Segments)
+}
--- a/internal/coordination/quarantine/tracker.go
+++ b/internal/coordination/quarantine/tracker.go
@@ -169,6 +169,9 @@
 // Complete records that the response is complete, however many events it had.
 func (r *Run) Complete() { r.Events(max(0, soundEvents-r.events)) }
 
+// WentOn reports whether the response has gone on so far that the request does not crash its upstream.
+func (r *Run) WentOn() bool { return r.events >= soundEvents }
+
 // End records that the attempt has ended; brokeOff says that the upstream closed the connection before the end of the response.
 func (r *Run) End(brokeOff bool) {
 	if !r.tracked() {
--- a/internal/coordination/roster/codec.go
+++ b/internal/coordination/roster/codec.go
@@ -41,6 +41,7 @@
 	e.Uint(25, r.EvacuationRevision)
 	e.Bool(26, r.Evacuates)
 	e.Texts(27, r.Awaited)
+	e.Texts(28, r.Refuted)
 	return e.Encoded()
 }
 
@@ -96,6 +97,8 @@
 			r.Evacuates = d.Bool()
 		case 27:
 			r.Awaited = append(r.Awaited, d.Text())
+		case 28:
+			r.Refuted = append(r.Refuted, d.Text())
 		}
 	}
 	return r, d.Err()
--- a/internal/coordination/roster/roster.go
+++ b/internal/coordination/roster/roster.go
@@ -146,6 +146,7 @@
 	r.record(now, p)
 	r.crashes.Report(now, p.VM.Address, p.Crashes, p.Matched, p.Cleared)
 	r.crashes.Await(now, p.VM.Address, p.Awaited)
+	r.crashes.Refute(now, p.Refuted)
 	r.limits.Observe(now, p.Limits)
 	entries := r.countEntries(now)
 	b := Bulletin{Leads: true, Entries: entries, Fleet: r.fleet(now), Epoch: r.epoch, Limits: r.limits.Limits(now), Suspects: r.crashes.Suspects(), Version: s.Version, InitialMembers: s.InitialMembers, Leaving: s.Leaving,
@@ -197,6 +198,9 @@
 
 // Quarantine returns the command that adds or releases one quarantine, or false when the reports require none.
 func (r *Roster) Quarantine(now time.Time, s plan.State) (plan.Command, bool) {
+	for _, q := range r.crashes.Released(s.Quarantines) {
+		return plan.Command{Quarantine: q, Release: true}, true
+	}
 	for _, q := range r.crashes.Decide(now, s.Quarantines) {
 		return plan.Command{Quarantine: q}, true
 	}
--- a/internal/coordination/roster/roster_test.go
+++ b/internal/coordination/roster/roster_test.go
@@ -25,7 +25,7 @@
 		Shares: map[string]float64{"x": 0.25}, Demand: map[string]float64{"x": 3}, Leads: true, Members: []string{"m"}, QuarantineRevision: 2, Unpacks: true, PatchesLists: true,
 		Crashes: []quarantine.Crash{{Upstream: "u", Age: time.Second, Observed: 30, Sound: []quarantine.SegmentCount{{Segment: "a", Count: 3}},
 			Suspects: []quarantine.Suspect{{Begun: true, Segments: []string{"a", "p"}}, {Segments: []string{"b"}}}}},
-		Matched: []string{"p"}, Cleared: []quarantine.Clearance{{Segment: "a", Age: time.Minute}}, Awaited: []string{"b"},
+		Matched: []string{"p"}, Cleared: []quarantine.Clearance{{Segment: "a", Age: time.Minute}}, Awaited: []string{"b"}, Refuted: []string{"c,d"},
 		Limits: []throttle.Limit{{Upstream: "u", Rate: 2.5, Age: time.Second}, {Upstream: "v"}}}
 	d, err := roster.DecodeReport(roster.EncodeReport(r))
 	require.NoError(t, err)
--- a/internal/coordination/roster/types.go
+++ b/internal/coordination/roster/types.go
@@ -46,6 +46,7 @@
 	Crashes               []quarantine.Crash // of upstreams, not reported to this leader so far
 	Matched               []string           // keys of the quarantines that held prompts back lately
 	Cleared               []quarantine.Clearance
+	Refuted               []string         // keys of the quarantines in force of which a prompt had a sound response here
 	Awaited               []string         // suspects whose responses have begun at upstreams that run on, and may clear them
 	Limits                []throttle.Limit // that upstreams named here lately
 	Cold                  []warmup.Word    // on upstreams that are cold or were, seen here lately
--- a/internal/transport/batchrun/carry.go
+++ b/internal/transport/batchrun/carry.go
@@ -54,7 +54,9 @@
 // runItem sends an item to an upstream and appends the events of its response to those of earlier runs in t. A run whose
 // upstream sends no data for gapTimeout, or within maxNoDataBytes, is cancelled. An output that exceeds maxOutputBytes, or
 // finds no room beside the others, is discarded: the next run starts from the first event.
-func (r *Runner) runItem(ctx context.Context, q *relay.Request, s relay.Sending, t *partial) outcome {
+//
+// It calls wentOn, maybe more than once, when the response has gone on so far that the item does not crash its upstream.
+func (r *Runner) runItem(ctx context.Context, q *relay.Request, s relay.Sending, t *partial, wentOn func()) outcome {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	gapTimer := time.AfterFunc(gapTimeout, func() { cancel(errNoData) })
@@ -102,6 +104,9 @@
 		data := relay.EventData(newEvents)
 		noData += n
 		tracked.Events(len(data))
+		if tracked.WentOn() {
+			wentOn()
+		}
 		if len(data) > 0 {
 			gapTimer.Reset(gapTimeout)
 			noData = 0
@@ -114,6 +119,9 @@
 			return broken
 		case err == io.EOF && e.Complete(a):
 			tracked.Complete()
+			if tracked.WentOn() {
+				wentOn()
+			}
 			return complete
 		case err != nil:
 			brokeOff = ctx.Err() == nil
--- a/internal/transport/batchrun/runner.go
+++ b/internal/transport/batchrun/runner.go
@@ -95,6 +95,7 @@
 	loadLogged     time.Time
 	forecasts      map[string]*filler.Forecast // by service
 	rushes         map[string]*filler.Rush     // by service
+	probes         *quarantine.Probes[filler.Key]
 	wg             sync.WaitGroup
 }
 
@@ -106,7 +107,8 @@
 	from     uint64 // last event of the runs before
 	tokens   int
 	cancel   context.CancelFunc
-	stopping bool // preempted or displaced; its cancellation is logged once
+	stopping bool     // preempted or displaced; its cancellation is logged once
+	probes   []string // keys of the quarantines that the item probes
 }
 
 // partial is the output of an item's runs so far; the next run resumes after it.
@@ -179,6 +181,7 @@
 	r.served = served{}
 	r.leadsSince = time.Time{}
 	r.closedUntil = map[string]time.Time{}
+	r.probes = quarantine.NewProbes[filler.Key]()
 }
 
 // schedule is one scheduling pass: it starts, preempts and displaces items as filler.Plan decides. When this VM does not lead
@@ -425,6 +428,7 @@
 func (r *Runner) pendingItems(ctx context.Context, now time.Time, p *plan.Plan) ([]filler.Pending, map[string]bool) {
 	l := r.pending[:0]
 	open := map[string]bool{}
+	r.probes.BeginPass(r.d.Quarantines.Keys())
 	r.d.Docket.View(func(j *docket.Job) bool {
 		if j.Done() {
 			if j.Age(now) > r.d.Retention+clockMargin {
@@ -463,8 +467,8 @@
 		}
 		return filler.Pending{}, false
 	}
-	if r.d.Quarantines.Blocks(quarantine.Subject{Segments: x.promptSegments(r.d.Segments, j.Items[k.Item].Headers)}) {
-		r.giveUp(ctx, now, j, k, u, "quarantined")
+	held := r.d.Quarantines.Holding(quarantine.Subject{Segments: x.promptSegments(r.d.Segments, j.Items[k.Item].Headers)})
+	if len(held) > 0 && (r.giveUp(ctx, now, j, k, u, "quarantined") || !r.probes.Choose(now, held, k)) {
 		return filler.Pending{}, false
 	}
 	if len(x.targets) == 0 {
@@ -570,10 +574,18 @@
 	ctx, cancel := context.WithCancel(ctx)
 	i := r.items.get(s.Key)
 	q.Segments = i.segments
-	release, ok := r.d.Quarantines.Watch(quarantine.Subject{Segments: q.Segments}, cancel)
+	subject := quarantine.Subject{Segments: q.Segments}
+	wentOn := func() {}
+	release, ok := r.d.Quarantines.Watch(subject, cancel)
+	var probes []string
 	if !ok {
-		cancel()
-		return
+		probes = r.d.Quarantines.Holding(subject)
+		if !r.probes.Start(time.Now(), probes, s.Key) {
+			cancel()
+			return
+		}
+		r.d.Log.Info("item probes a quarantine", "job", s.Key.Job, "item", s.Key.Item, "upstream", s.Upstream, "quarantines", probes)
+		wentOn = func() { r.d.Quarantines.Refute(subject) }
 	}
 	if i.partial != nil && i.partial.lastEvent > 0 && (i.partial.version != version || version == origin.Unknown) {
 		r.d.Log.Info("item starts anew", "job", s.Key.Job, "item", s.Key.Item, "event", i.partial.lastEvent, "version", i.partial.version, "next", version)
@@ -585,7 +597,7 @@
 	i.partial.version = version
 	t := i.partial
 	x := &run{Run: filler.Run{Task: filler.Task{Key: s.Key, Due: due}, Upstream: s.Upstream}, partial: t, cancel: cancel,
-		from: t.lastEvent, began: time.Now(), tokens: size}
+		from: t.lastEvent, began: time.Now(), tokens: size, probes: probes}
 	r.runs[s.Key], i.run = x, x
 	r.wg.Go(func() {
 		defer cancel()
@@ -595,7 +607,7 @@
 			r.runEnded(x, limited, attempts)
 			return
 		}
-		o := r.runItem(ctx, q, relay.Sending{Upstream: s.Upstream, Address: address, Account: account, Resume: t.lastEvent, Stream: true}, t)
+		o := r.runItem(ctx, q, relay.Sending{Upstream: s.Upstream, Address: address, Account: account, Resume: t.lastEvent, Stream: true}, t, wentOn)
 		r.runEnded(x, o, attempts)
 	})
 }
@@ -661,6 +673,7 @@
 	case refused:
 		r.itemRefused(now, x, i)
 	case broken, empty:
+		r.probes.Broke(now, x.probes)
 		r.closedUntil[x.Upstream] = now.Add(brokenPause)
 		if i.emptyRuns >= maxEmptyRuns {
 			r.d.Log.Info("item starts anew", "job", x.Key.Job, "item", x.Key.Item, "event", x.partial.lastEvent, "empty_runs", i.emptyRuns)
