batchrun: Don't cut off items that have gone on when their prompt is quarantined

Callers saw: a quarantine stopped all running items with its segments, also those whose responses show that they don't crash their upstreams. If it is wrong, this takes away what would show that; in any case the items are done again from where they were, which costs upstreams.

Cause: a new quarantine cancelled each run that it matches. The relay of online requests leaves a response with two events alone; the runner of items did not look at that.

Change: only runs that have not gone on are cancelled, as in the relay.

--- a/internal/transport/batchrun/runner.go
+++ b/internal/transport/batchrun/runner.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"snipetack/internal/coordination/filler"
@@ -575,8 +576,13 @@
 	i := r.items.get(s.Key)
 	q.Segments = i.segments
 	subject := quarantine.Subject{Segments: q.Segments}
-	wentOn := func() {}
-	release, ok := r.d.Quarantines.Watch(subject, cancel)
+	var sound atomic.Bool
+	wentOn := func() { sound.Store(true) }
+	release, ok := r.d.Quarantines.Watch(subject, func() {
+		if !sound.Load() { // one that has gone on does not crash its upstream
+			cancel()
+		}
+	})
 	var probes []string
 	if !ok {
 		probes = r.d.Quarantines.Holding(subject)
