--- a/internal/transport/batchrun/carry.go
+++ b/internal/transport/batchrun/carry.go
@@ -104,9 +104,7 @@
 		data := relay.EventData(newEvents)
 		noData += n
 		tracked.Events(len(data))
-		if tracked.WentOn() {
-			wentOn()
-		}
+		tellWentOn(tracked, wentOn)
 		if len(data) > 0 {
 			gapTimer.Reset(gapTimeout)
 			noData = 0
@@ -119,9 +117,7 @@
 			return broken
 		case err == io.EOF && e.Complete(a):
 			tracked.Complete()
-			if tracked.WentOn() {
-				wentOn()
-			}
+			tellWentOn(tracked, wentOn)
 			return complete
 		case err != nil:
 			brokeOff = ctx.Err() == nil
@@ -134,6 +130,13 @@
 	}
 }
 
+// tellWentOn calls wentOn when the response of a run has gone on.
+func tellWentOn(tracked *quarantine.Run, wentOn func()) {
+	if tracked.WentOn() {
+		wentOn()
+	}
+}
+
 // unsuccessful returns the outcome of a run by the head of its response; it is false if the output follows.
 func unsuccessful(a *relay.Response) (outcome, bool) {
 	switch {
