node, origin: Send origins of running streams again to holders that may lack them

Callers saw: streams that run undisturbed can't be taken up after their connection is lost (LOST): 503 with code 4007, though upstreams of their version serve. It needs the control and batch processes to have been killed at one moment, stopped and started in turn, or out of reach when the streams began; new streams are served all the while.

Cause: an entry VM told the holders of a stream's origin once, over a connection that may just be gone. The three batch VMs keep it in memory for 30 to 60 s. A holder that started anew, was out of reach, had taken another's place after a change of members, or had forgotten the origin of a long stream never got it again, although the entry VM that runs the stream knows it.

Change: origin.Copies decides twice a second what each holder gets. When the number of the connection to a holder changes (link counts them), all that the entry VM knows is sent again; after a change of members each stream goes to its new holders; a running stream is sent once in 10 s, a third of what holders remember at least. While streams run, a silent connection to one of their holders gets an empty message each 2 s, which shows whether it still works.

Why this works: what a holder lost, it lost with a process or a connection, and both end the connection whose number was kept. An entry VM remembers a stream until 30 s after it has ended here, so it can tell a holder everything that could still be asked for. No kind of message changes, so old and new builds mix: an old holder takes what is sent again as new origins.

--- a/internal/command/node/entry.go
+++ b/internal/command/node/entry.go
@@ -44,6 +44,7 @@
 	n         *Node
 	pool      *dispatch.Pool
 	relay     *relay.Relay
+	origins   *origins
 	jobs      *jobs.Client
 	stopping  atomic.Bool
 	preempted chan struct{} // signals that a request has taken a slot from a batch item; capacity 1
@@ -84,6 +85,7 @@
 	if n.Settings.Contention {
 		ready = m.ready
 	}
+	e.origins = newOrigins(n.link, m)
 	e.relay = relay.New(relay.Deps{
 		Ready:       ready,
 		Upstreams:   n.Adapters.Upstreams(n.conns),
@@ -96,7 +98,7 @@
 		Departures:  departures{m},
 		Quarantines: m.quarantines,
 		Crashes:     m.crashes,
-		Origins:     newOrigins(n.link, m),
+		Origins:     e.origins,
 		Restarts:    m.restarts,
 		Log:         n.Log,
 		Memory:      n.budget,
@@ -130,6 +132,7 @@
 	})
 	g.Go(func() error { return e.reportLoads(ctx) })
 	g.Go(func() error { return e.maintain(ctx) })
+	g.Go(func() error { return e.origins.run(ctx) })
 	return g.Wait()
 }
 
--- a/internal/command/node/origins.go
+++ b/internal/command/node/origins.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"snipetack/internal/coordination/origin"
+	"snipetack/internal/coordination/pause"
 	"snipetack/internal/transport/link"
 	"snipetack/internal/transport/relay"
 )
@@ -16,7 +18,9 @@
 const (
 	originFlush   = 20 * time.Millisecond  // between messages with origins; what a VM has not sent is lost with its power
 	originTimeout = 100 * time.Millisecond // of a question; its caller waits for a stream to go on
+	originCheck   = 500 * time.Millisecond // between checks whether holders lack something, on average
 	maxUnsent     = 4096                   // origins that wait to be sent
+	maxInMessage  = 4096                   // origins in one message
 )
 
 // origins is an entry VM's knowledge of where streams began: its own, and by questions that of the batch VMs which hold the origins of all
@@ -27,40 +31,48 @@
 	own   *origin.Table
 
 	mu        sync.Mutex
+	running   map[origin.Key]origin.Origin
 	pending   []origin.Begun
 	flushedAt time.Time
+	copies    *origin.Copies
 }
 
 var _ relay.OriginProvider = (*origins)(nil)
 
 func newOrigins(l *link.Link, m *member) *origins {
-	return &origins{calls: l, m: m, own: origin.NewTable()}
+	return &origins{calls: l, m: m, own: origin.NewTable(), running: map[origin.Key]origin.Origin{}, copies: origin.NewCopies()}
 }
 
-// Record remembers where a stream began and lets its holders know at once, or within originFlush of others. Services without versions need no record.
-func (o *origins) Record(account, request string, at origin.Origin) {
+// Record remembers where a stream began, until origin.Memory after ended is called, and lets its holders know at once, or within originFlush of
+// others. Services without versions need no record.
+func (o *origins) Record(account, request string, at origin.Origin) (ended func()) {
 	if o.m.history.Unversioned(at.Service) {
-		return
+		return func() {}
 	}
 	k := origin.KeyOf(account, request)
 	o.own.Add(time.Now(), k, at)
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	o.running[k] = at
 	if len(o.pending) >= maxUnsent {
-		return
-	}
-	o.pending = append(o.pending, origin.Begun{Key: k, Origin: at})
-	if len(o.pending) == 1 {
+		o.copies.Dropped()
+	} else if o.pending = append(o.pending, origin.Begun{Key: k, Origin: at}); len(o.pending) == 1 {
 		time.AfterFunc(originFlush-time.Since(o.flushedAt), o.flush)
 	}
+	return func() {
+		o.own.Add(time.Now(), k, at)
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		delete(o.running, k)
+	}
 }
 
 // flush sends the collected origins to their holders.
 func (o *origins) flush() {
 	o.mu.Lock()
+	defer o.mu.Unlock()
 	l := o.pending
 	o.pending, o.flushedAt = nil, time.Now()
-	o.mu.Unlock()
 	batch := o.m.originHolders()
 	byHolder := map[string][]origin.Begun{}
 	for _, b := range l {
@@ -69,7 +81,47 @@
 		}
 	}
 	for h, l := range byHolder {
-		o.calls.Send(h, link.Origins, origin.EncodeBegun(l))
+		o.send(origin.Copy{Holder: h, Streams: l})
+	}
+}
+
+// send sends a message to a holder, in parts of maxInMessage. o.mu is held.
+func (o *origins) send(c origin.Copy) {
+	over := o.calls.Send(c.Holder, link.Origins, origin.EncodeBegun(c.Streams[:min(len(c.Streams), maxInMessage)]))
+	for rest := c.Streams[min(len(c.Streams), maxInMessage):]; len(rest) > 0; rest = rest[min(len(rest), maxInMessage):] {
+		if x := o.calls.Send(c.Holder, link.Origins, origin.EncodeBegun(rest[:min(len(rest), maxInMessage)])); x != over {
+			over = 0
+		}
+	}
+	o.copies.Sent(time.Now(), c.Holder, over, c.Whole)
+}
+
+// run sends origins again to holders that may lack them, until ctx ends. The times of all entry VMs are spread.
+func (o *origins) run(ctx context.Context) error {
+	for pause.For(ctx, originCheck/2+rand.N(originCheck)) {
+		o.check(time.Now())
+	}
+	return nil
+}
+
+func (o *origins) check(now time.Time) {
+	batch := o.m.originHolders()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var running []origin.Begun
+	for k, at := range o.running {
+		o.own.Add(now, k, at)
+		running = append(running, origin.Begun{Key: k, Origin: at})
+	}
+	again := 0
+	for _, c := range o.copies.Due(now, batch, o.calls.Connection, running, func() []origin.Begun { return o.own.Streams(now) }) {
+		o.send(c)
+		if c.Whole && len(c.Streams) > 0 {
+			again++
+		}
+	}
+	if again > 0 {
+		o.m.n.Log.Info("origins of streams sent again", "holders", again, "running", len(running))
 	}
 }
 
--- a/internal/coordination/origin/table.go
+++ b/internal/coordination/origin/table.go
@@ -89,6 +89,23 @@
 	return o, ok
 }
 
+// Streams returns all streams whose origins are known.
+func (t *Table) Streams(now time.Time) []Begun {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.rotate(now)
+	l := make([]Begun, 0, len(t.recent)+len(t.older))
+	for k, o := range t.recent {
+		l = append(l, Begun{Key: k, Origin: o})
+	}
+	for k, o := range t.older {
+		if _, ok := t.recent[k]; !ok {
+			l = append(l, Begun{Key: k, Origin: o})
+		}
+	}
+	return l
+}
+
 // Len returns the number of origins.
 func (t *Table) Len() int {
 	t.mu.Lock()
--- a/internal/transport/link/link.go
+++ b/internal/transport/link/link.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -40,6 +41,8 @@
 	mu     sync.Mutex
 	peers  map[string]*peer // by address
 	closed bool
+
+	connections atomic.Uint64 // dialled so far
 }
 
 // New returns a Link; handlers and receivers must be registered before Serve.
@@ -58,14 +61,28 @@
 func (l *Link) Self() string { return l.d.Self }
 
 // Send sends a one-way frame. It does not block and reports no error: the frame may be lost. A frame to this VM itself is
-// dropped.
-func (l *Link) Send(vm string, k Kind, body []byte) {
+// dropped. It returns the number of the connection that has the frame, or 0 if it was dropped or there is no connection yet. As long as
+// Connection returns the same number, the frame has arrived or is on its way.
+func (l *Link) Send(vm string, k Kind, body []byte) (connection uint64) {
 	if vm == l.d.Self {
-		return
+		return 0
 	}
-	if p := l.peer(vm); p != nil {
-		p.enqueue(frame{frameType: oneWay, kind: k, body: body})
+	p := l.peer(vm)
+	if p == nil {
+		return 0
+	}
+	return p.send(frame{frameType: oneWay, kind: k, body: body})
+}
+
+// Connection returns the number of the current connection to a VM, which no other connection of this Link has, or 0 while there is none.
+func (l *Link) Connection(vm string) uint64 {
+	l.mu.Lock()
+	p := l.peers[vm]
+	l.mu.Unlock()
+	if p == nil {
+		return 0
 	}
+	return p.connection()
 }
 
 // Call sends a request and returns the response. An error of the other VM's handler is a Refused; after any other error the
@@ -142,7 +159,7 @@
 	}
 	p := l.peers[vm]
 	if p == nil {
-		p = newPeer(vm, l.d, l.memory)
+		p = newPeer(vm, l.d, l.memory, &l.connections)
 		l.peers[vm] = p
 	}
 	return p
--- a/internal/transport/link/peer.go
+++ b/internal/transport/link/peer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -24,9 +25,11 @@
 	vm     string
 	d      Deps
 	memory *semaphore.Weighted // of the bodies of frames
+	dialed *atomic.Uint64      // connections of the Link so far
 
 	mu           sync.Mutex
 	conn         *stream // nil while there is no connection
+	number       uint64  // of conn
 	queue        []frame // frames to send once the connection is dialled
 	bytes        int     // total size of queue
 	dialing      bool
@@ -39,19 +42,32 @@
 	probeSent    time.Time             // when the unanswered probe was sent; zero when there is none
 }
 
-func newPeer(vm string, d Deps, memory *semaphore.Weighted) *peer {
-	return &peer{vm: vm, d: d, memory: memory, calls: map[uint64]chan frame{}}
+func newPeer(vm string, d Deps, memory *semaphore.Weighted, dialed *atomic.Uint64) *peer {
+	return &peer{vm: vm, d: d, memory: memory, dialed: dialed, calls: map[uint64]chan frame{}}
 }
 
-// enqueue queues a frame for sending and dials when there is no connection. It returns false when the frame is dropped: the
-// peer is closed, a queue is full or the last dial has just failed.
-func (p *peer) enqueue(f frame) bool {
+// send queues a frame for sending, and returns the number of the connection that it goes over if there is one.
+func (p *peer) send(f frame) uint64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.enqueueLocked(f)
+	if !p.enqueueLocked(f) || p.conn == nil {
+		return 0
+	}
+	return p.number
+}
+
+// connection returns the number of the current connection, or 0.
+func (p *peer) connection() uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.conn == nil {
+		return 0
+	}
+	return p.number
 }
 
-// enqueueLocked is enqueue for callers that hold p.mu.
+// enqueueLocked queues a frame for sending and dials when there is no connection. It returns false when the frame is dropped: the
+// peer is closed, a queue is full or the last dial has just failed. p.mu is held.
 func (p *peer) enqueueLocked(f frame) bool {
 	if p.closed {
 		return false
@@ -127,7 +143,7 @@
 		return
 	}
 	s := newStream(c, p.memory)
-	p.conn = s
+	p.conn, p.number = s, p.dialed.Add(1)
 	p.lastReceived = time.Now()
 	p.probeSent = time.Time{}
 	s.enqueue(frame{frameType: greeting, body: []byte(p.d.Self)})
--- a/internal/transport/relay/exchange.go
+++ b/internal/transport/relay/exchange.go
@@ -41,6 +41,7 @@
 
 	pinned bool          // only upstreams of origin are acceptable: the caller has events from there
 	origin origin.Origin // where the stream began
+	forget func()        // ends the record of it
 
 	quarantined atomic.Bool // no further attempt is made
 	progressed  atomic.Bool // the current attempt has sent events to the caller
@@ -166,7 +167,7 @@
 		x.origin.Version = origin.Unknown
 	}
 	if x.a.Resume == 0 && x.a.Route.Resumable {
-		x.r.d.Origins.Record(x.a.Account.Name, x.a.ID, x.origin)
+		x.forget = x.r.d.Origins.Record(x.a.Account.Name, x.a.ID, x.origin)
 	}
 }
 
--- a/internal/transport/relay/origin_test.go
+++ b/internal/transport/relay/origin_test.go
@@ -22,7 +22,7 @@
 // unversioned knows every stream to have begun at the only version, which the list does not name.
 type unversioned struct{}
 
-func (unversioned) Record(string, string, origin.Origin) {}
+func (unversioned) Record(string, string, origin.Origin) (ended func()) { return func() {} }
 
 func (unversioned) Find(_ context.Context, _, _, service string) (origin.Origin, bool) {
 	return origin.Origin{Service: service}, true
@@ -34,7 +34,12 @@
 	told  map[string]origin.Origin
 }
 
-func (r *recorded) Record(_, request string, o origin.Origin) { r.told[request] = o }
+func (r *recorded) Record(_, request string, o origin.Origin) (ended func()) {
+	if r.told != nil {
+		r.told[request] = o
+	}
+	return func() {}
+}
 
 func (r *recorded) Find(_ context.Context, _, request, _ string) (origin.Origin, bool) {
 	o, ok := r.known[request]
--- a/internal/transport/relay/relay.go
+++ b/internal/transport/relay/relay.go
@@ -54,8 +54,9 @@
 
 // OriginProvider knows at which version of its service's software each stream began, on any VM.
 type OriginProvider interface {
-	// Record remembers where a stream began whose first event the caller gets by a request.
-	Record(account, request string, o origin.Origin)
+	// Record remembers where a stream began whose first event the caller gets, or got, by a request. ended is called when the stream does not
+	// run any more on this VM.
+	Record(account, request string, o origin.Origin) (ended func())
 	// Find returns where the stream began whose first event the caller got by a request; it is false when nobody knows. Without an answer from
 	// other VMs it returns after a tenth of a second. service is where the stream must have begun if only one version of it has served.
 	Find(ctx context.Context, account, request, service string) (origin.Origin, bool)
@@ -243,7 +244,8 @@
 		return
 	}
 	a.Fingerprint = quarantine.Fingerprint(a.Account.Name, q.Method, q.Host, q.Target, q.Body)
-	x := &exchange{r: r, a: a, s: s}
+	x := &exchange{r: r, a: a, s: s, forget: func() {}}
+	defer func() { x.forget() }()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	stop, ok := r.d.Quarantines.Watch(a.subject(), func() { x.quarantine(cancel) })
