relay: Record the origin of a stream at the VM that takes it up

Callers saw: a stream that was taken up once can't be taken up a second time (4007) when its first entry VM is gone and the holders of its origin have started anew.

Cause: the origin of a stream was recorded by the entry VM where it began and by no other. A VM that took it up had asked for the origin, and forgot it.

Change: a VM that takes a stream up records its origin, under the request that brought the first event, which a caller names each time, and sends it to the holders like that of its own streams.

Why this works: as long as a stream runs anywhere, a VM runs it that knows its origin and tells its holders.

--- a/internal/transport/relay/exchange.go
+++ b/internal/transport/relay/exchange.go
@@ -141,6 +141,7 @@
 	if !x.servable("") {
 		return originLost(versionGone)
 	}
+	x.forget = x.r.d.Origins.Record(x.a.Account.Name, x.a.TakesUp, o) // its caller may have to take it up once more
 	return nil
 }
 
