node: Keep the origin of a stream that was taken up at the VM that ran it

A caller that loses its connection and takes its stream up at the same entry VM would lose the origin a minute later, although the stream runs: a further take-up gets 4007 once the holders have forgotten it, too.

Cause: the stream that runs was one entry by its key. The response on the first connection ends after the take-up has begun, as a VM notices the loss late, and took the entry away.

Evidence: TestOriginIsKnownWhileAnyResponseRuns failed before: the origin is unknown ten minutes into the take-up.

Change: origin.Running counts the responses of each stream.

Result: the test passes, as do those of streams whose holders were disturbed.

--- a/internal/command/node/origins.go
+++ b/internal/command/node/origins.go
@@ -31,7 +31,7 @@
 	own   *origin.Table
 
 	mu        sync.Mutex
-	running   map[origin.Key]origin.Origin
+	running   *origin.Running
 	pending   []origin.Begun
 	flushedAt time.Time
 	copies    *origin.Copies
@@ -40,7 +40,7 @@
 var _ relay.OriginProvider = (*origins)(nil)
 
 func newOrigins(l *link.Link, m *member) *origins {
-	return &origins{calls: l, m: m, own: origin.NewTable(), running: map[origin.Key]origin.Origin{}, copies: origin.NewCopies()}
+	return &origins{calls: l, m: m, own: origin.NewTable(), running: origin.NewRunning(), copies: origin.NewCopies()}
 }
 
 // Record remembers where a stream began, until origin.Memory after ended is called, and lets its holders know at once, or within originFlush of
@@ -53,7 +53,7 @@
 	o.own.Add(time.Now(), k, at)
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.running[k] = at
+	o.running.Begin(k, at)
 	if len(o.pending) >= maxUnsent {
 		o.copies.Dropped()
 	} else if o.pending = append(o.pending, origin.Begun{Key: k, Origin: at}); len(o.pending) == 1 {
@@ -63,7 +63,7 @@
 		o.own.Add(time.Now(), k, at)
 		o.mu.Lock()
 		defer o.mu.Unlock()
-		delete(o.running, k)
+		o.running.End(k)
 	}
 }
 
@@ -108,10 +108,9 @@
 	batch := o.m.originHolders()
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	var running []origin.Begun
-	for k, at := range o.running {
-		o.own.Add(now, k, at)
-		running = append(running, origin.Begun{Key: k, Origin: at})
+	running := o.running.Streams()
+	for _, b := range running {
+		o.own.Add(now, b.Key, b.Origin)
 	}
 	again := 0
 	for _, c := range o.copies.Due(now, batch, o.calls.Connection, running, func() []origin.Begun { return o.own.Streams(now) }) {
