--- a/internal/command/node/origins.go
+++ b/internal/command/node/origins.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -87,16 +88,20 @@
 
 // send sends a message to a holder, in parts of maxInMessage. o.mu is held.
 func (o *origins) send(c origin.Copy) {
-	over := o.calls.Send(c.Holder, link.Origins, origin.EncodeBegun(c.Streams[:min(len(c.Streams), maxInMessage)]))
-	for rest := c.Streams[min(len(c.Streams), maxInMessage):]; len(rest) > 0; rest = rest[min(len(rest), maxInMessage):] {
-		if x := o.calls.Send(c.Holder, link.Origins, origin.EncodeBegun(rest[:min(len(rest), maxInMessage)])); x != over {
+	parts := slices.Collect(slices.Chunk(c.Streams, maxInMessage))
+	if len(parts) == 0 {
+		parts = append(parts, nil) // shows whether the connection still works
+	}
+	over := o.calls.Send(c.Holder, link.Origins, origin.EncodeBegun(parts[0]))
+	for _, p := range parts[1:] {
+		if o.calls.Send(c.Holder, link.Origins, origin.EncodeBegun(p)) != over {
 			over = 0
 		}
 	}
 	o.copies.Sent(time.Now(), c.Holder, over, c.Whole)
 }
 
-// run sends origins again to holders that may lack them, until ctx ends. The times of all entry VMs are spread.
+// run checks again and again until ctx ends. The times of all entry VMs are spread.
 func (o *origins) run(ctx context.Context) error {
 	for pause.For(ctx, originCheck/2+rand.N(originCheck)) {
 		o.check(time.Now())
@@ -104,6 +109,7 @@
 	return nil
 }
 
+// check sends origins again to holders that may lack them.
 func (o *origins) check(now time.Time) {
 	batch := o.m.originHolders()
 	o.mu.Lock()
