fakenet: Close only the own listener and packet connection

Cause: a fault of the tests' own network, not of the product. Close took away whatever listened at its address. link.Serve closes its listener in a goroutine of its own, which may run only when the VM has been started again at the same address after a Kill; then the former process closed the new one's listener. A kernel has no such close. Packet connections had the same fault.

Change: Close removes a listener or a packet connection only if it is the one at its address.

--- a/internal/testing/fakenet/packet.go
+++ b/internal/testing/fakenet/packet.go
@@ -74,7 +74,9 @@
 
 func (p *packetConn) Close() error {
 	p.n.mu.Lock()
-	delete(p.n.packets, p.address)
+	if p.n.packets[p.address] == p { // after Kill, another process may have the address
+		delete(p.n.packets, p.address)
+	}
 	p.n.mu.Unlock()
 	p.kill()
 	return nil
--- a/internal/testing/fakenet/stream.go
+++ b/internal/testing/fakenet/stream.go
@@ -91,7 +91,9 @@
 
 func (l *listener) Close() error {
 	l.n.mu.Lock()
-	delete(l.n.listeners, l.address)
+	if l.n.listeners[l.address] == l { // after Kill, another process may listen there
+		delete(l.n.listeners, l.address)
+	}
 	l.n.mu.Unlock()
 	l.kill()
 	return nil
