--- a/internal/coordination/quarantine/correlated_test.go
+++ b/internal/coordination/quarantine/correlated_test.go
@@ -170,6 +170,8 @@
 						}
 					}()
 					f.play(5 * time.Second)
+					f.mu.Lock()
+					defer f.mu.Unlock()
 					require.Len(t, f.crashes, c.crashes)
 					require.Empty(t, f.inForce, "seed %d", seed)
 				})
@@ -219,6 +221,8 @@
 						}
 					}()
 					f.play(12 * time.Second)
+					f.mu.Lock()
+					defer f.mu.Unlock()
 					require.NotEmpty(t, f.inForce, "seed %d", seed)
 					bad := f.crashes[c.site:]
 					due := bad[min(len(bad), 5)-1].Add(contactTime)
